--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -95,6 +95,7 @@
     void clientGone(Exchange exchange) {
         if (exchange.close()) {
             counters.clientsGone++;
+            counters.goneEarly += inSecondHalf(exchange) ? 0 : 1;
             open--;
             post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
         }
@@ -249,8 +250,11 @@
 
     private void countHeldBack(Exchange exchange) {
         boolean written = exchange.mayHaveRun || exchange.attempts.stream().anyMatch(Attempt::written);
-        long half = exchange.command.waitMs * Clock.MILLISECOND / 2;
-        counters.heldBack += !written && Clock.now() > exchange.deadline - half ? 1 : 0;
+        counters.heldBack += !written && inSecondHalf(exchange) ? 1 : 0;
+    }
+
+    private static boolean inSecondHalf(Exchange exchange) {
+        return Clock.now() > exchange.deadline - exchange.command.waitMs * Clock.MILLISECOND / 2;
     }
 
     // What the module asks for, carried out in its order.
--- a/src/main/java/eiderscale/net/Config.java
+++ b/src/main/java/eiderscale/net/Config.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /** What the deployment tells this balancer. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              Site site, Catalog known) {
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, String cores,
+              int sockets, Site site, Catalog known) {
     private static final int DEFAULT_SOCKETS = 1024;
 
     static Config read(String path) {
@@ -24,6 +24,14 @@
         }
     }
 
+    /** The bounds that it runs within, for the log. */
+    String limits() {
+        return "cores " + cores + " sockets " + sockets + " idle-close " + site.idleTime / Clock.MILLISECOND
+                + " ms connect " + site.connectTimeout / Clock.MILLISECOND + " ms attempts "
+                + site.settings.maxAttempts() + " aims " + site.settings.classes().stream()
+                .map(c -> c.aim() / Clock.MILLISECOND + " of " + c.deadline() / Clock.MILLISECOND + " ms").toList();
+    }
+
     static Config parse(Map<?, ?> json) {
         Site site = new Site(Json.get(json, "settings", Map.class));
         Map<?, ?> limits = Json.get(json, "limits", Map.class, Map.of());
@@ -33,6 +41,7 @@
                     Catalog.address(Json.get(json, "listen", String.class)),
                     Catalog.address(Json.get(json, "discovery", String.class)),
                     Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
+                    String.valueOf(limits.get("cores")),
                     Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue(), site,
                     Catalog.parse(known, site));
         } catch (NumberFormatException e) {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -12,6 +12,8 @@
     long refused;
     long failed;
     long clientsGone;
+    /** Of those gone, how many left in the first half of their time. */
+    long goneEarly;
     long malformed;
     long lastCalls;
     long connects;
@@ -23,8 +25,9 @@
     /** Clients' connections ended by us: idle ones for want of room, and new ones past all room. */
     long evicted;
     long turnedAway;
-    /** Resets on connections that had stood idle, and the longest such time. */
+    /** Resets on connections that had stood idle, and the shortest and longest such time. */
     long staleResets;
+    private long shortestStale = Long.MAX_VALUE;
     private long longestStale;
     private long longestWay;
     private long troubles;
@@ -50,6 +53,7 @@
     void staleReset(long idleFor) {
         staleResets++;
         longestStale = Math.max(longestStale, idleFor);
+        shortestStale = Math.min(shortestStale, idleFor);
     }
 
     /** Whether anything went badly since the last call: such a second is worth a line of its own. */
@@ -63,11 +67,11 @@
     /** Writes what has been counted so far; what is called worst is so since the last line. */
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "taken %d served %d refused %d unsent %d failed %d gone %d malformed %d last-calls %d held-back %d"
-                + " | connects %d local-refusals %d evicted %d turned-away %d stale-resets %d worst %.1f ms"
+                "taken %d served %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
+                + " | connects %d local-refusals %d evicted %d turned-away %d stale-resets %d after %.1f to %.1f ms"
                 + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, refused,
-                refusedUnsent, failed, clientsGone, malformed, lastCalls, heldBack, connects, localRefusals,
-                evicted, turnedAway, staleResets, longestStale / 1e6, longestWay / 1e6, timers, lateTimers,
+                refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, localRefusals,
+                evicted, turnedAway, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
@@ -77,6 +81,7 @@
         latest = 0;
         longestWay = 0;
         longestStale = 0;
+        shortestStale = Long.MAX_VALUE;
         log(line.append(" | ").append(gauges).toString());
     }
 
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -19,7 +19,7 @@
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
-            Counters.log(config.name() + " serves on " + config.listen());
+            Counters.log(config.name() + " serves on " + config.listen() + " with " + config.limits());
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
             Runtime.getRuntime().halt(1);
