Stay up on SIGHUP and follow discovery to the address the new configuration names

The signal is heard now, the configuration read again, and the watch goes on at the new address from the version held, without a word to the module.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -3,6 +3,7 @@
 import eiderscale.Api;
 import eiderscale.Api.Reason;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -126,6 +127,11 @@
         return "open " + open + " ledger " + exchanges.size() + " " + pool.gauges() + " | " + router.gauges();
     }
 
+    /** Discovery is elsewhere from now on. */
+    void discoveryAt(InetSocketAddress address) {
+        discovery.moveTo(address);
+    }
+
     /** Closes what the pool holds idle for too long; called once in a while. */
     void sweep() {
         pool.sweep();
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -42,12 +42,14 @@
     private static final long LEAST_MS = 100;
     private static final int MOST_BYTES = 4 * 1024 * 1024;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Site site;
     private final EventLoop loop;
     private final Listener listener;
     private long rev;
     private boolean watching;
+    private boolean wanted;
+    private Call call;
 
     Discovery(Config config, EventLoop loop, Listener listener) {
         this.address = config.discovery();
@@ -59,12 +61,31 @@
 
     /** Begins a watch from the last known version, unless one is on. */
     void subscribe() {
+        wanted = true;
         if (!watching) {
             watching = true;
-            new Call().start();
+            call();
         }
     }
 
+    /** Goes on at another address from the version held, and at once: the old one tells nothing new. */
+    void moveTo(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        Counters.log("discovery is at " + next + " now");
+        if (wanted && (!watching || call.abandon())) {
+            watching = true;
+            call();
+        }
+    }
+
+    private void call() {
+        call = new Call();
+        call.start();
+    }
+
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final long begun = Clock.now();
@@ -123,7 +144,7 @@
             end();
             rev = catalog.rev();
             long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
-            loop.schedule(() -> new Call().start(), wait, TimeUnit.MILLISECONDS);
+            loop.schedule(Discovery.this::call, wait, TimeUnit.MILLISECONDS);
             listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
         }
 
@@ -142,12 +163,20 @@
             silence.cancel(false);
         }
 
-        private void fail(String why) {
+        /** Ends without a word to anyone; false if it was over, with the next call on its way already. */
+        boolean abandon() {
             if (over) {
-                return;
+                return false;
             }
             end();
             channel.close();
+            return true;
+        }
+
+        private void fail(String why) {
+            if (!abandon()) {
+                return;
+            }
             watching = false;
             Counters.log("discovery failed: " + why);
             listener.onList(ListMode.FAILED, List.of());
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -18,6 +18,7 @@
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
             Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
+            Hangup.hear(() -> reload(node, loop));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
             Counters.log(config.name() + " serves on " + config.listen() + " with " + config.limits());
@@ -30,6 +31,16 @@
         }
     }
 
+    /** SIGHUP tells of a new configuration; one that cannot be read changes nothing. */
+    private static void reload(Node node, EventLoop loop) {
+        try {
+            Config replaced = Config.read(System.getenv("GW_CONFIG"));
+            loop.execute(() -> node.reload(replaced));
+        } catch (ConfigException e) {
+            Counters.log("the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
     /** A program that cannot rehearse serves all the same, if slowly at first. */
     private static void rehearse() {
         long begun = Clock.now();
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -63,6 +63,11 @@
         balancer.onList(mode, members);
     }
 
+    /** The configuration was replaced; of it, only where discovery is may change under a running program. */
+    void reload(Config replaced) {
+        balancer.discoveryAt(replaced.discovery());
+    }
+
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -98,6 +98,30 @@
         }
     }
 
+    @Test
+    void aMovedDiscoveryIsAskedAtOnceFromTheVersionHeld() throws Exception {
+        try (FakeHost old = discovery(); FakeHost moved = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = old.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            answers.add(list(41, false));
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=7&timeout_ms="));
+            assertEquals("DELTA 0", next(told));
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=41&timeout_ms="), "a call is out");
+            rig.discovery = moved.endpoint();
+            Config replaced = Config.parse(Json.parse(rig.config("127.0.0.1:1").getBytes()));
+            rig.loop.submit(() -> rig.node.reload(replaced)).get();
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=41&timeout_ms="));
+            assertEquals(1, moved.connections.get());
+            // One for the call that was left behind, one for the new one.
+            answers.add(list(44, false));
+            answers.add(list(44, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            String first = next(told);
+            assertTrue(first.equals("DELTA 0") || first.equals("FULL 1"), first);
+        }
+    }
+
     /** A refused connection can fail within the call that opens it; that once left the watch dead for good. */
     @Test
     void aRefusedConnectionIsAFailureAndIsAskedAgain() throws Exception {
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -110,6 +111,8 @@
                 try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
                     assertEquals("MN", client.ask("mn"));
                     assertEquals("HD O2 c77", client.ask(Rig.COPY));
+                    hangUp(process, config, rig, port);
+                    assertEquals("HD O2 c77", client.ask(Rig.COPY), "served after SIGHUP");
                     process.destroy();
                     assertEquals("HD O2 c77", client.ask(Rig.COPY), "served after SIGTERM too");
                     client.awaitEnd();
@@ -120,6 +123,20 @@
         }
     }
 
+    /** Moves discovery in the configuration, sends SIGHUP and waits for the call at the new address. */
+    private void hangUp(Process process, Path config, Rig rig, int port) throws Exception {
+        CountDownLatch called = new CountDownLatch(1);
+        FakeHost moved = new FakeHost(peer -> {
+            peer.line();
+            called.countDown();
+        });
+        rig.hosts.add(moved);
+        rig.discovery = moved.endpoint();
+        Files.writeString(config, rig.config("127.0.0.1:" + port));
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        assertTrue(called.await(Peer.LIMIT_MS, TimeUnit.MILLISECONDS), "the new address is asked");
+    }
+
     @Test
     void withoutConfigurationTheProgramSaysWhyInOneLineAndFails() throws Exception {
         Path broken = Files.writeString(folder.resolve("broken.json"), "{\"listen\":");
