--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -1,6 +1,7 @@
 package eiderscale;
 
 import eiderscale.Api.*;
+import java.util.Arrays;
 
 /** What is turned away before any work is done, and how hard the fleet looks pressed from here. */
 final class Admission {
@@ -26,6 +27,8 @@
     private double fills = 1;
     private double admitted = 1;
     private long loadAt;
+    /** Signs since the last line of the log: quick answers, slow requests, rejections. */
+    private final int[] signs = new int[3];
     /** Mean time that an ordered request keeps its key. */
     long writeTime;
     private final double[] tokens;
@@ -51,6 +54,7 @@
     void load(long now, double sign) {
         double step = Math.max(LEAST_STEP, Math.min(MOST_STEP, (double) (now - loadAt) / STEP_NS));
         loadAt = now;
+        signs[sign > 0 ? 0 : sign == SLOWNESS ? 1 : sign < 0 ? 2 : 0]++;
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
 
@@ -98,6 +102,9 @@
     }
 
     String gauges() {
-        return "admitted " + Math.round(admitted * 100) + "% fills " + Math.round(fills * 100) + "%";
+        String text = "admitted " + Math.round(admitted * 100) + "% quick " + signs[0] + " slow " + signs[1]
+                + " rejected " + signs[2] + " fills " + Math.round(fills * 100) + "%";
+        Arrays.fill(signs, 0);
+        return text;
     }
 }
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -35,6 +35,8 @@
         int inFlight;
         /** Mean time of its answers lately. */
         double latency;
+        /** Requests waiting there, as it told last. */
+        double queue;
         /** Start of the slow start, 0 if warm. */
         long coldSince;
         /** Sends that its slow start allows, as of {@code filledAt}. */
@@ -173,8 +175,10 @@
         host.trial |= host.openUntil != 0;
     }
 
-    void onEnd(long now, Host host, Reason reason, long took) {
+    void onEnd(long now, Host host, Reason reason, long took, float[] report) {
         host.inFlight--;
+        int queue = settings.report().queue();
+        host.queue = queue >= 0 && queue < report.length ? report[queue] : host.queue;
         boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
         if (reason.answered() || reason == Reason.TIMEOUT) {
@@ -212,11 +216,14 @@
     String gauges() {
         int open = 0;
         int cold = 0;
+        StringBuilder queues = new StringBuilder();
         for (int i = 0; i < cacheCount; i++) {
             open += caches[i].openUntil != 0 ? 1 : 0;
             cold += caches[i].coldSince != 0 ? 1 : 0;
+            queues.append(i == 0 ? "" : ",").append(Math.round(caches[i].queue)).append('/')
+                    .append(caches[i].inFlight);
         }
-        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold;
+        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + " queues " + queues;
     }
 
     /** A random number in [0, 1) from the seed. */
