Let admission open again while fewer attempts are out than usual

After a jam the admitted share stayed at 5% to 15% for up to ten seconds with two or fewer of our attempts at each host: of the few requests that were let through, four in ten were slow by nature and one in ten was turned away by a full host, and these signs outweighed the quick answers. A bad sign counts now only while more attempts are out than there usually are when answers come quickly.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -18,15 +18,19 @@
     /** Part of the aim after which a request that is still out is a sign of overload. */
     private static final double SLOW = 0.45;
     /** What a rejection and a slow request say of the load, where a quick answer says 1. */
+    static final double QUICKNESS = 1;
     static final double REJECTION = -3;
     static final double SLOWNESS = -1;
     private static final double LEAST_ADMITTED = 0.05;
     private static final int WRITE_SMOOTHING = 8;
+    private static final int USUAL_SMOOTHING = 256;
 
     private final Settings settings;
     private double fills = 1;
     private double admitted = 1;
     private long loadAt;
+    /** Attempts that are out when caches answer quickly and little is shed. */
+    private double usual;
     /** Signs since the last line of the log: quick answers, slow requests, rejections. */
     private final int[] signs = new int[3];
     /** Mean time that an ordered request keeps its key. */
@@ -49,12 +53,20 @@
     /**
      * A cache answered quickly, turned a request away, or has one out for long: half of one kind and half of
      * the other balance, so that lost answers alone shed nothing. Guards against jams that outlast their
-     * cause, as servers that slow down when crowded make them. Harm: work that is slow by nature is shed.
+     * cause, as servers that slow down when crowded make them.
+     *
+     * <p>A bad sign counts only while more of our attempts are out than usual: below that it tells of slow
+     * work or one full host, which shedding does not cure. Guards against staying shut over an idle fleet.
      */
-    void load(long now, double sign) {
+    void load(long now, double sign, int outstanding) {
         double step = Math.max(LEAST_STEP, Math.min(MOST_STEP, (double) (now - loadAt) / STEP_NS));
         loadAt = now;
-        signs[sign > 0 ? 0 : sign == SLOWNESS ? 1 : sign < 0 ? 2 : 0]++;
+        signs[sign > 0 ? 0 : sign == SLOWNESS ? 1 : 2]++;
+        if (sign > 0 && !overloaded()) {
+            usual += (outstanding - usual) / USUAL_SMOOTHING;
+        } else if (sign < 0 && outstanding < usual) {
+            return;
+        }
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
 
@@ -102,8 +114,9 @@
     }
 
     String gauges() {
-        String text = "admitted " + Math.round(admitted * 100) + "% quick " + signs[0] + " slow " + signs[1]
-                + " rejected " + signs[2] + " fills " + Math.round(fills * 100) + "%";
+        String text = "admitted " + Math.round(admitted * 100) + "% usual " + Math.round(usual) + " quick "
+                + signs[0] + " slow " + signs[1] + " rejected " + signs[2] + " fills " + Math.round(fills * 100)
+                + "%";
         Arrays.fill(signs, 0);
         return text;
     }
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -54,6 +54,8 @@
     }
 
     Host[] caches = {};
+    /** Of our attempts, those that are out at caches. */
+    int outstanding;
     int cacheCount;
     final List<Host> origins = new ArrayList<>();
     private final Map<Long, Host> known = new LinkedHashMap<>();
@@ -171,12 +173,14 @@
 
     void onSend(long now, Host host) {
         host.inFlight++;
+        outstanding += isOrigin(host) ? 0 : 1;
         host.tokens -= host.coldSince != 0 ? 1 : 0;
         host.trial |= host.openUntil != 0;
     }
 
     void onEnd(long now, Host host, Reason reason, long took, float[] report) {
         host.inFlight--;
+        outstanding -= isOrigin(host) ? 0 : 1;
         int queue = settings.report().queue();
         host.queue = queue >= 0 && queue < report.length ? report[queue] : host.queue;
         boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -260,7 +260,7 @@
     private void lookAgain(long now, Flight flight) {
         if (now >= flight.slowAt) {
             flight.slowAt = NEVER;
-            admission.load(now, flight.missed ? 0 : Admission.SLOWNESS);
+            admission.load(now, flight.missed ? 0 : Admission.SLOWNESS, health.outstanding);
         }
         if (now >= flight.hedgeAt) {
             flight.hedgeAt = NEVER;
@@ -350,7 +350,7 @@
         if (!health.isOrigin(attempt.host) && (reason == Reason.REJECTED || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
             double full = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
-            admission.load(now, reason.answered() ? 1 : full);
+            admission.load(now, reason.answered() ? Admission.QUICKNESS : full, health.outstanding);
         }
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -327,6 +327,48 @@
         assertTrue(bed.refusals.size() > 15, "refused within 1.5 s: " + bed.refusals.size());
     }
 
+    /** Shut by a jam, admission stayed shut for ten seconds over idle hosts with work slow by nature. */
+    @Test
+    void admissionOpensAgainWhileFewerAttemptsAreOutThanUsual() {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.mayDuplicate = false;
+        Bed bed = new Bed(builder).servers(6);
+        for (int i = 0; i < 1_000; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.pass(5);
+            if (i >= 20) {
+                bed.outcome(i - 20, 0, Reason.OK);
+            }
+        }
+        for (int i = 1_000; i < 1_100; i++) {
+            bed.request(i, Bed.READ, i);
+        }
+        bed.pass(500);
+        for (int i = 980; i < 1_100; i++) {
+            bed.outcome(i, 0, Reason.OK);
+        }
+        assertTrue(shed(bed, 2_000) > 20, "a jam: so many slow requests are a sign");
+        for (int i = 3_000; i < 3_600; i++) {
+            if (bed.request(i, Bed.READ, i) != null) {
+                bed.pass(i % 2 == 0 ? 10 : 500);
+                bed.outcome(i, 0, Reason.OK);
+            }
+        }
+        assertEquals(0, shed(bed, 4_000), "one request at a time is no jam, however slow");
+    }
+
+    /** Of 100 requests at once, so many are refused; the others are served quickly. */
+    private static long shed(Bed bed, long first) {
+        long shed = 0;
+        for (long i = first; i < first + 100; i++) {
+            shed += bed.request(i, Bed.READ, i) == null ? 1 : 0;
+        }
+        for (long i = first; i < first + 100; i++) {
+            bed.outcome(i, 0, Reason.OK);
+        }
+        return shed;
+    }
+
     /** A third of the answers lost looked like overload, and two thirds of the traffic was refused. */
     @Test
     void lostAnswersAloneShedNothing() {
