--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -115,8 +115,8 @@
 
     String gauges() {
         String text = "admitted " + Math.round(admitted * 100) + "% usual " + Math.round(usual) + " quick "
-                + signs[0] + " slow " + signs[1] + " rejected " + signs[2] + " fills " + Math.round(fills * 100)
-                + "%";
+                + signs[0] + " slow " + signs[1] + " rejected " + signs[2]
+                + " fills " + Math.round(fills * 100) + "%";
         Arrays.fill(signs, 0);
         return text;
     }
