--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -35,8 +35,8 @@
         int inFlight;
         /** Mean time of its answers lately. */
         double latency;
-        /** Requests waiting there, as it told last. */
-        double queue;
+        /** Attempts since the last line of the log: answered, turned away, failed. */
+        private final int[] ends = new int[3];
         /** Start of the slow start, 0 if warm. */
         long coldSince;
         /** Sends that its slow start allows, as of {@code filledAt}. */
@@ -178,11 +178,9 @@
         host.trial |= host.openUntil != 0;
     }
 
-    void onEnd(long now, Host host, Reason reason, long took, float[] report) {
+    void onEnd(long now, Host host, Reason reason, long took) {
         host.inFlight--;
         outstanding -= isOrigin(host) ? 0 : 1;
-        int queue = settings.report().queue();
-        host.queue = queue >= 0 && queue < report.length ? report[queue] : host.queue;
         boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
         if (reason.answered() || reason == Reason.TIMEOUT) {
@@ -191,6 +189,9 @@
         if (isOrigin(host)) {
             return;
         }
+        if (reason.answered() || failed || reason == Reason.REJECTED) {
+            host.ends[reason.answered() ? 0 : failed ? 2 : 1]++;
+        }
         if (reason.answered() || failed) {
             failing += FAILING_WEIGHT * ((failed ? 1 : 0) - failing);
         }
@@ -220,14 +221,16 @@
     String gauges() {
         int open = 0;
         int cold = 0;
-        StringBuilder queues = new StringBuilder();
+        StringBuilder ends = new StringBuilder();
         for (int i = 0; i < cacheCount; i++) {
             open += caches[i].openUntil != 0 ? 1 : 0;
             cold += caches[i].coldSince != 0 ? 1 : 0;
-            queues.append(i == 0 ? "" : ",").append(Math.round(caches[i].queue)).append('/')
-                    .append(caches[i].inFlight);
+            int[] of = caches[i].ends;
+            ends.append(' ').append(caches[i].inFlight).append('+').append(of[0]).append('/').append(of[1])
+                    .append('/').append(of[2]);
+            Arrays.fill(of, 0);
         }
-        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + " queues " + queues;
+        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + ", each: in flight + answered/turned away/failed" + ends;
     }
 
     /** A random number in [0, 1) from the seed. */
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -324,7 +324,7 @@
         if (flight.ordered() && outcome.reason().mayRunOn()) {
             order.rest(now, flight.request.key());
         }
-        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt, outcome.report());
+        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt);
         learn(now, flight, attempt, outcome.reason());
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -222,6 +222,7 @@
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
                 counters.served++;
+                counters.missed += "0".equals(answer.flag(1, 'h')) ? 1 : 0;
                 open--;
                 exchange.answer(answerLine(exchange.command, answer), answer.data());
             }
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -9,6 +9,8 @@
     private final long[] outcomes = new long[Reason.values().length];
     long taken;
     long served;
+    /** Of those served, how many their host had to fetch. */
+    long missed;
     long refused;
     long failed;
     long clientsGone;
@@ -67,9 +69,9 @@
     /** Writes what has been counted so far; what is called worst is so since the last line. */
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "taken %d served %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
+                "taken %d served %d missed %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
                 + " | connects %d local-refusals %d evicted %d turned-away %d stale-resets %d after %.1f to %.1f ms"
-                + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, refused,
+                + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, missed, refused,
                 refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, localRefusals,
                 evicted, turnedAway, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
