--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -230,7 +230,8 @@
                     .append('/').append(of[2]);
             Arrays.fill(of, 0);
         }
-        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + ", each: in flight + answered/turned away/failed" + ends;
+        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold
+                + ", each: in flight + answered/turned away/failed" + ends;
     }
 
     /** A random number in [0, 1) from the seed. */
