Take a cache's turning away for overload only where no other cache takes the request

Each rejection weighed as much as three quick answers, so the admitted share fell to 27%. It now counts from a request's second rejection on, or where no further attempt is made; with an origin beside the caches all is as it was.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -39,6 +39,8 @@
         final Attempt[] attempts;
         int sent;
         int pending;
+        /** Attempts that a cache turned away. */
+        int turnedAway;
         boolean ended;
         /** Missed at a cache, or sent to the origin: no copy runs beside that. */
         boolean missed;
@@ -347,10 +349,13 @@
             admission.writeTook(now - attempt.sentAt);
         }
         boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
-        if (!health.isOrigin(attempt.host) && (reason == Reason.REJECTED || quick && reason.answered())) {
-            // A full cache while the origin has room tells of a hot key, not of a full fleet.
-            double full = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
-            admission.load(now, reason.answered() ? Admission.QUICKNESS : full, health.outstanding);
+        if (!health.isOrigin(attempt.host) && quick && reason.answered()) {
+            admission.load(now, Admission.QUICKNESS, health.outstanding);
+        } else if (!health.isOrigin(attempt.host) && reason == Reason.REJECTED) {
+            flight.turnedAway++;
+            if (settings.aside() || flight.turnedAway > 1) {
+                full(now, flight);
+            }
         }
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
@@ -361,6 +366,13 @@
         }
     }
 
+    /** Caches are full, as far as this request has found. */
+    private void full(long now, Flight flight) {
+        // A full cache while the origin has room tells of a hot key, not of a full fleet.
+        double sign = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
+        admission.load(now, sign, health.outstanding);
+    }
+
     /** An attempt ended without an answer: wait for another one, try again, or give the final answer. */
     private void goOn(long now, Flight flight, Reason reason) {
         flight.missed |= reason == Reason.MISS;
@@ -375,6 +387,10 @@
                 return;
             }
         }
+        if (flight.turnedAway == 1 && reason == Reason.REJECTED && !settings.aside()) {
+            // Where another cache is tried, its word counts: one full cache is no full fleet.
+            full(now, flight);
+        }
         finish(now, flight);
     }
 
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -315,6 +315,7 @@
         }
         for (int i = 0; i < 5; i++) {
             bed.outcome(i, 0, Reason.REJECTED);
+            bed.outcome(i, 1, Reason.REJECTED);
         }
         for (int i = 0; i < 120; i++) {
             if (i == 60) {
