Keep copies to half of the budget, and leave first repeats of what never ran out of it

Copies and repeats shared a budget of a fifth of the requests.

Copies may fill half of our own budget now. A first repeat of an attempt that never ran takes nothing from it, unless the hosts look pressed or an origin stands beside the caches. A budget that the settings state is kept to the letter as before.

--- a/src/main/java/eiderscale/Hedging.java
+++ b/src/main/java/eiderscale/Hedging.java
@@ -17,17 +17,22 @@
     /** The budget of further attempts where none is stated. */
     private static final Budget OWN_BUDGET = new Budget(10, 0.2, 5_000_000_000L);
 
+    /** Part of our own budget that copies may fill. */
+    private static final double COPIES_PART = 0.5;
+
     private TDigest digest = new MergingDigest(COMPRESSION);
     private long begun;
     private int samples;
     private long quantile;
     /** The sixth rule, with the times of requests taken and of further attempts. */
     private final Budget budget;
+    private final boolean stated;
     private final Deque<Long> taken = new ArrayDeque<>();
     private final Deque<Long> further = new ArrayDeque<>();
 
     Hedging(Budget budget) {
-        this.budget = budget != null ? budget : OWN_BUDGET;
+        this.stated = budget != null;
+        this.budget = stated ? budget : OWN_BUDGET;
     }
 
     /** A request came, whether refused or not. */
@@ -43,13 +48,26 @@
     }
 
     /**
-     * Takes a copy or a retry from the budget, a window that slides. Guards against copies that pile up when
-     * every cache slows at once, and retries that keep a full fleet full.
+     * Takes a copy from the budget. Guards against copies that pile up when every cache slows at once; they
+     * leave a part of it to repeats, without which a request is lost.
      */
-    boolean spend(long now) {
+    boolean spendOnCopy(long now) {
+        return spend(now, stated ? 1 : COPIES_PART);
+    }
+
+    /**
+     * Takes a repeat from the budget, which a free one is spared where it is our own. Guards against retries
+     * that keep a full fleet full.
+     */
+    boolean spendOnRepeat(long now, boolean free) {
+        return free && !stated || spend(now, 1);
+    }
+
+    /** Takes a further attempt from that part of the budget, a window that slides. */
+    private boolean spend(long now, double part) {
         expire(taken, now - budget.span());
         expire(further, now - budget.span() - 1);
-        boolean may = further.size() + 1 <= budget.free() + budget.share() * taken.size();
+        boolean may = further.size() + 1 <= part * (budget.free() + budget.share() * taken.size());
         if (may) {
             further.add(now);
         }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -279,7 +279,7 @@
         search(now, flight);
         Host host = untried(flight, candidates.width);
         if (host != null && maySend(now, flight, host)
-                && !admission.overloaded() && hedging.spend(now)) {
+                && !admission.overloaded() && hedging.spendOnCopy(now)) {
             send(now, flight, host);
         }
     }
@@ -382,7 +382,7 @@
         if (now < flight.usefulUntil && flight.sent < mostAttempts && reason != Reason.MOOT) {
             Host host = next(now, flight, reason);
             if (host != null && maySend(now, flight, host)
-                    && (reason == Reason.MISS || hedging.spend(now))) {
+                    && (reason == Reason.MISS || mayRepeat(now, flight, reason))) {
                 send(now, flight, host);
                 return;
             }
@@ -394,6 +394,12 @@
         finish(now, flight);
     }
 
+    /** A first repeat of what cost no host any work is free, unless the hosts look pressed. */
+    private boolean mayRepeat(long now, Flight flight, Reason reason) {
+        boolean pressed = settings.aside() || admission.overloaded();
+        return hedging.spendOnRepeat(now, reason.neverRan && flight.sent == 1 && !pressed);
+    }
+
     private Host next(long now, Flight flight, Reason reason) {
         // Guards against a hot key's hosts passing it round among them, full, while the origin has room.
         boolean full = reason == Reason.REJECTED && originQuick(flight);
