--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -91,6 +91,7 @@
     private final class Slot implements Exchange.Client {
         private final Connection connection;
         private ByteBuf answer;
+        private long answeredAt;
         private Exchange exchange;
 
         Slot(Connection connection) {
@@ -101,6 +102,7 @@
         public void answer(String line, byte[] data) {
             if (!connection.gone) {
                 answer = Command.line(connection.channel.alloc(), line, data);
+                answeredAt = Clock.now();
                 unread += answer.readableBytes();
                 connection.flushReady();
             }
@@ -206,9 +208,13 @@
             }
             boolean wrote = false;
             while (!slots.isEmpty() && slots.peek().answer != null) {
-                ByteBuf answer = slots.poll().answer;
-                int bytes = answer.readableBytes();
-                channel.write(answer).addListener(done -> unread -= bytes);
+                Slot slot = slots.poll();
+                int bytes = slot.answer.readableBytes();
+                long turn = Clock.now();
+                channel.write(slot.answer).addListener(done -> {
+                    unread -= bytes;
+                    counters.delivery(turn - slot.answeredAt, Clock.now() - slot.answeredAt);
+                });
                 wrote = true;
             }
             if (wrote) {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -32,6 +32,9 @@
     private long shortestStale = Long.MAX_VALUE;
     private long longestStale;
     private long longestWay;
+    private long slowDeliveries;
+    private long longestDelivery;
+    private long longestTurn;
     private long troubles;
     private long timers;
     private long lateTimers;
@@ -52,6 +55,13 @@
         longestWay = Math.max(longestWay, took);
     }
 
+    /** From an answer until its turn came on the client's connection, and until its last byte had left. */
+    void delivery(long turn, long left) {
+        slowDeliveries += left - turn > 5 * Clock.MILLISECOND ? 1 : 0;
+        longestTurn = Math.max(longestTurn, turn);
+        longestDelivery = Math.max(longestDelivery, left - turn);
+    }
+
     void staleReset(long idleFor) {
         staleResets++;
         longestStale = Math.max(longestStale, idleFor);
@@ -71,9 +81,11 @@
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d missed %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
                 + " | connects %d local-refusals %d evicted %d turned-away %d stale-resets %d after %.1f to %.1f ms"
+                + " | turn worst %.1f ms slow deliveries %d worst %.1f ms"
                 + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, missed, refused,
                 refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, localRefusals,
-                evicted, turnedAway, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestWay / 1e6, timers, lateTimers,
+                evicted, turnedAway, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
+                slowDeliveries, longestDelivery / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
@@ -82,6 +94,8 @@
         }
         latest = 0;
         longestWay = 0;
+        longestTurn = 0;
+        longestDelivery = 0;
         longestStale = 0;
         shortestStale = Long.MAX_VALUE;
         log(line.append(" | ").append(gauges).toString());
