Close client connections only when idle for 2 s, and peers that say nothing whole

One idle for less than 2 s, or still being written to, is left alone now, and the newcomer refused. A peer that has sent nothing whole 2.5 s after connecting is closed, so that it does not hold such a place.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flow.FlowControlHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -22,6 +23,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
 final class ClientServer {
@@ -31,6 +33,10 @@
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
     private static final int BACKLOG = 1024;
     private static final int ACCEPTS_AT_ONCE = 256;
+    /** A connection idle for less may have a request on its way, which a close would lose. */
+    private static final long LEAST_IDLE = 2 * Clock.SECOND;
+    /** A peer that has sent nothing whole by then is closed; it is owed that within 3 s. */
+    private static final long FIRST_MS = 2_500;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Balancer balancer;
@@ -117,6 +123,10 @@
         private boolean quitting;
         private boolean gone;
         private boolean reading;
+        private boolean heard;
+        private Future<?> silence;
+        private long idleSince;
+        private int unsent;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -134,21 +144,38 @@
                 surplus = true;
             }
             connections.add(this);
-            idle.add(this);
+            goIdle();
+            silence = loop.schedule(() -> {
+                if (!heard) {
+                    counters.silent++;
+                    channel.close();
+                }
+            }, FIRST_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void goIdle() {
+            if (idle.add(this)) {
+                idleSince = Clock.now();
+            }
         }
 
         private boolean evict() {
-            Iterator<Connection> longest = idle.iterator();
-            if (!longest.hasNext()) {
-                return false;
+            long latest = Clock.now() - LEAST_IDLE;
+            for (Iterator<Connection> longest = idle.iterator(); longest.hasNext(); ) {
+                Connection evicted = longest.next();
+                if (evicted.idleSince > latest) {
+                    return false;
+                }
+                if (evicted.unsent == 0) {
+                    // Counted out now, as the channel reports its end only later: a burst would evict but one.
+                    longest.remove();
+                    connections.remove(evicted);
+                    counters.evicted++;
+                    evicted.channel.close();
+                    return true;
+                }
             }
-            Connection evicted = longest.next();
-            // Counted out now, as the channel reports its end only later: a burst would evict but one.
-            longest.remove();
-            connections.remove(evicted);
-            counters.evicted++;
-            evicted.channel.close();
-            return true;
+            return false;
         }
 
         @Override
@@ -158,6 +185,7 @@
             }
             idle.remove(this);
             reading = true;
+            heard = true;
             Slot slot = new Slot(this);
             slots.add(slot);
             if (frame.fault() != null) {
@@ -211,8 +239,10 @@
                 Slot slot = slots.poll();
                 int bytes = slot.answer.readableBytes();
                 long turn = Clock.now();
+                unsent++;
                 channel.write(slot.answer).addListener(done -> {
                     unread -= bytes;
+                    unsent--;
                     counters.delivery(turn - slot.answeredAt, Clock.now() - slot.answeredAt);
                 });
                 wrote = true;
@@ -235,7 +265,7 @@
                 channel.close();
             } else {
                 if (slots.isEmpty()) {
-                    idle.add(this);
+                    goIdle();
                 }
                 channel.config().setAutoRead(slots.size() < MOST_PIPELINED && channel.isWritable());
             }
@@ -249,6 +279,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             gone = true;
+            if (silence != null) {
+                silence.cancel(false);
+            }
             connections.remove(this);
             idle.remove(this);
             for (Slot slot : slots) {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -27,6 +27,8 @@
     /** Clients' connections ended by us: idle ones for want of room, and new ones past all room. */
     long evicted;
     long turnedAway;
+    /** Peers that were closed for having said nothing whole. */
+    long silent;
     /** Resets on connections that had stood idle, and the shortest and longest such time. */
     long staleResets;
     private long shortestStale = Long.MAX_VALUE;
@@ -80,11 +82,11 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d missed %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
-                + " | connects %d local-refusals %d evicted %d turned-away %d stale-resets %d after %.1f to %.1f ms"
+                + " | connects %d local-refusals %d evicted %d turned-away %d silent %d stale-resets %d after %.1f to %.1f ms"
                 + " | turn worst %.1f ms slow deliveries %d worst %.1f ms"
                 + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, missed, refused,
                 refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, localRefusals,
-                evicted, turnedAway, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
+                evicted, turnedAway, silent, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
                 slowDeliveries, longestDelivery / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
         for (Reason reason : Reason.values()) {
--- a/src/test/java/eiderscale/net/BadInputTest.java
+++ b/src/test/java/eiderscale/net/BadInputTest.java
@@ -39,6 +39,18 @@
         }
     }
 
+    @Test
+    void aPeerThatSaysNothingWholeIsClosedAndOthersAreNot() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client(); Peer silent = rig.client();
+                Peer half = rig.client()) {
+            assertEquals("MN", client.ask("mn"));
+            half.write("ms a 5 O1 Pc=copy,t=acme,d=5000\r\nhel");
+            assertEquals(null, silent.line());
+            assertEquals(null, half.line());
+            assertEquals("HD O2 c77", client.ask(Rig.COPY), "idle for as long, but a client");
+        }
+    }
+
     @Test
     void aBareLineFeedIsNoEndOfLine() throws Exception {
         try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client()) {
