--- a/src/main/java/eiderscale/net/Rehearsal.java
+++ b/src/main/java/eiderscale/net/Rehearsal.java
@@ -24,12 +24,12 @@
  * clients, who all come at once, wait for the compiler on a small share of a core, and the loop is late.
  */
 public final class Rehearsal {
-    /** Rounds of clients that come, ask and leave; together well past the calls at which code is compiled. */
-    private static final int ROUNDS = 12;
-    private static final int CLIENTS = 24;
-    private static final int LEAST_ROUNDS = 2;
+    /** Rounds of clients that come, ask and leave; enough of them for most code to be compiled. */
+    private static final int ROUNDS = 4;
+    private static final int CLIENTS = 12;
+    private static final int LEAST_ROUNDS = 1;
     /** No further round starts past this: a restart must not be kept from serving for long. */
-    private static final long LONGEST = 1_500 * Clock.MILLISECOND;
+    private static final long LONGEST = 700 * Clock.MILLISECOND;
     /** Every so many reads one is slow, for copies and their cancelling. */
     private static final int SLOW_EVERY = 3;
     private static final int SLOW_MS = 15;
