Send no copies or repeats into a failing origin that caches fetch from

A repeat or a copy goes to a cache that mostly lacks the key as well, so it fetches too, and the origin, which takes far less than all requests, stayed under. While one read in ten ends in an error, reads get no copy, and one that ended in an error is answered at once.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -23,10 +23,14 @@
     static final double SLOWNESS = -1;
     private static final double LEAST_ADMITTED = 0.05;
     private static final int WRITE_SMOOTHING = 8;
+    private static final int ERROR_SMOOTHING = 64;
+    private static final double MOST_ERRORS = 0.1;
     private static final int USUAL_SMOOTHING = 256;
 
     private final Settings settings;
     private double fills = 1;
+    /** Share of late reads at caches that ended in an error: their fetch failed. */
+    private double fetchErrors;
     private double admitted = 1;
     private long loadAt;
     /** Attempts that are out when caches answer quickly and little is shed. */
@@ -113,10 +117,24 @@
         fills = failed ? Math.max(LEAST_FILLS, fills * FILL_CUT) : Math.min(1, fills * FILL_GROWTH);
     }
 
+    /** A read at a cache that fetches for itself was served or ended in an error. */
+    void readResult(boolean error) {
+        fetchErrors += ((error ? 1 : 0) - fetchErrors) / ERROR_SMOOTHING;
+    }
+
+    /**
+     * Whether a further attempt at another cache may make it fetch too. Guards against an origin kept from
+     * recovering by repeats and copies of reads that only it can serve.
+     */
+    boolean mayFetchAgain() {
+        return fetchErrors < MOST_ERRORS;
+    }
+
     String gauges() {
         String text = "admitted " + Math.round(admitted * 100) + "% usual " + Math.round(usual) + " quick "
                 + signs[0] + " slow " + signs[1] + " rejected " + signs[2]
-                + " fills " + Math.round(fills * 100) + "%";
+                + " fills " + Math.round(fills * 100) + "%"
+                + " fetch-errors " + Math.round(fetchErrors * 100) + "%";
         Arrays.fill(signs, 0);
         return text;
     }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -279,7 +279,7 @@
         search(now, flight);
         Host host = untried(flight, candidates.width);
         if (host != null && maySend(now, flight, host)
-                && !admission.overloaded() && hedging.spendOnCopy(now)) {
+                && !admission.overloaded() && admission.mayFetchAgain() && hedging.spendOnCopy(now)) {
             send(now, flight, host);
         }
     }
@@ -360,6 +360,9 @@
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
             admission.fillResult(reason != Reason.OK || now - attempt.sentAt > flight.requestClass.aim());
+        } else if (!settings.aside() && !flight.request.write()
+                && (reason == Reason.ERROR || reason == Reason.OK)) {
+            admission.readResult(reason == Reason.ERROR);
         } else if (!settings.aside() && flight.request.write()
                 && (reason == Reason.ERROR || reason == Reason.OK)) { // a time-out tells nothing
             admission.fillResult(reason != Reason.OK);
@@ -396,6 +399,9 @@
 
     /** A first repeat of what cost no host any work is free, unless the hosts look pressed. */
     private boolean mayRepeat(long now, Flight flight, Reason reason) {
+        if (reason == Reason.ERROR && !admission.mayFetchAgain()) {
+            return false;
+        }
         boolean pressed = settings.aside() || admission.overloaded();
         return hedging.spendOnRepeat(now, reason.neverRan && flight.sent == 1 && !pressed);
     }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -388,6 +388,33 @@
         assertEquals(0, shed(bed, 4_000), "one request at a time is no jam, however slow");
     }
 
+    /** Repeats and copies made other caches fetch too, and kept a failing origin from recovering. */
+    @Test
+    void whatAFailingOriginCannotServeIsNotAskedForTwice() {
+        Bed bed = bed().servers(8);
+        bed.warmDigest(40);
+        for (int i = 0; i < 200; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.outcome(i, 0, i % 3 == 0 ? Reason.ERROR : Reason.OK);
+            bed.outcome(i, 1, Reason.ERROR);
+        }
+        bed.pass(6_000);
+        bed.request(1_000, Bed.READ, 5);
+        bed.pass(400);
+        assertEquals(1, bed.sends.stream().filter(s -> s.request() == 1_000).count(), "no copy");
+        assertNull(bed.outcome(1_000, 0, Reason.ERROR), "no repeat");
+        assertTrue(bed.refused(1_000), "and the answer at once");
+        bed.request(1_001, Bed.READ, 5);
+        assertNotNull(bed.outcome(1_001, 0, Reason.RESET), "a lost connection is not the origin's");
+        bed.outcome(1_001, 1, Reason.OK);
+        for (int i = 2_000; i < 2_200; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.outcome(i, 0, Reason.OK);
+        }
+        bed.request(3_000, Bed.READ, 5);
+        assertNotNull(bed.outcome(3_000, 0, Reason.ERROR), "repeated once fetches go well again");
+    }
+
     /** Some hosts turned half of the first sends away, others took them, and most traffic was shed. */
     @Test
     void aHostThatTurnsAwayWhatOthersTakeIsNoOverload() {
