Fill a test host's accept queue until it is seen to be full

ConnectingTest counted on two connections filling it; on a busy machine a third sometimes came up, and the command was written that never should be (seen once in a clean checkout: 'SERVER_ERROR failed' for 'busy'). The queue is now filled until a connection does not come up.

--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -15,12 +16,28 @@
 class ConnectingTest {
     /** A listening socket whose accept queue is full: connections to it come up only when it accepts. */
     private static final class FullHost implements AutoCloseable {
+        private static final int FULL_MS = 700;
+        private static final int MOST_FILLERS = 50;
         final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         final List<Socket> fillers = new ArrayList<>();
 
         FullHost() throws IOException {
-            for (int i = 0; i < 2; i++) {
-                fillers.add(new Socket(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+            // Counting alone is not enough: on a busy machine the queue may be seen as full only later.
+            while (fill()) {
+                assertTrue(fillers.size() < MOST_FILLERS, "the accept queue never fills");
+            }
+        }
+
+        /** One more connection; false if it did not come up, as the queue is full. */
+        private boolean fill() throws IOException {
+            Socket filler = new Socket();
+            try {
+                filler.connect(server.getLocalSocketAddress(), FULL_MS);
+                fillers.add(filler);
+                return true;
+            } catch (SocketTimeoutException e) {
+                filler.close();
+                return false;
             }
         }
 
