Learn admission's usual load as a plain mean first, so that new balancers know it

Cause: a bad sign counts only while more attempts are out than usual, but 'usual' starts at 0 and moved by 1/256 an answer (Admission.load). A balancer started among cold hosts had learned 2 when its share fell under a half; from then on nothing is learned, and slow work balanced quick answers for good.

Ruled out: fetch errors (0% to 1%), fills (100%), breakers (none open), a late loop (worst timer 10 ms), hosts really full (0 to 30 time-outs in the last 5 s).

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -35,6 +35,8 @@
     private long loadAt;
     /** Attempts that are out when caches answer quickly and little is shed. */
     private double usual;
+    /** Answers that {@link #usual} rests on, as far as they still count. */
+    private int usualOf;
     /** Signs since the last line of the log: quick answers, slow requests, rejections. */
     private final int[] signs = new int[3];
     /** Mean time that an ordered request keeps its key. */
@@ -67,7 +69,9 @@
         loadAt = now;
         signs[sign > 0 ? 0 : sign == SLOWNESS ? 1 : 2]++;
         if (sign > 0 && !overloaded()) {
-            usual += (outstanding - usual) / USUAL_SMOOTHING;
+            // A plain mean at first: a new balancer would long take slow work for overload.
+            usualOf = Math.min(usualOf + 1, USUAL_SMOOTHING);
+            usual += (outstanding - usual) / usualOf;
         } else if (sign < 0 && outstanding < usual) {
             return;
         }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -441,6 +441,27 @@
         return shed;
     }
 
+    /** Balancers restarted among cold hosts took their first slow answers for overload and refused to the end. */
+    @Test
+    void aNewBalancerDoesNotTakeSlowWorkForOverload() {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.mayDuplicate = false;
+        Bed bed = new Bed(builder).servers(20);
+        for (int round = 0; round < 40; round++) {
+            for (int i = 0; i < 8; i++) {
+                bed.request(round * 8 + i, Bed.READ, round * 8 + i);
+            }
+            for (int i = 0; i < 3; i++) {
+                bed.outcome(round * 8 + i, 0, Reason.OK);
+            }
+            bed.pass(600);
+            for (int i = 3; i < 8; i++) {
+                bed.outcome(round * 8 + i, 0, Reason.OK);
+            }
+        }
+        assertEquals(List.of(), bed.refusals);
+    }
+
     /** A third of the answers lost looked like overload, and two thirds of the traffic was refused. */
     @Test
     void lostAnswersAloneShedNothing() {
