Count errors against the origin only where another cache fails the same request

Counted over all 14 balancers, the errors come from 7 to 14 of 60 hosts, which fail 40% to 80% of what they get, while the others fail under 1% and serve misses all the same: the origin is well. Ruled out: time-outs (4 to 50), full hosts (none turned away), connections (82 broken where the zone went).

Lines at fault: Admission.readResult and mayFetchAgain ended all repeats and copies once a tenth of the reads failed, wherever; Router.learn took a write's first error for the origin's and let fewer writes in.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -11,6 +11,8 @@
     private static final double FILL_CUT = 0.64;
     private static final double FILL_GROWTH = 1.25;
     private static final double LEAST_FILLS = 0.1;
+    /** What a read served at once does: most need no origin, so it speaks for it a little only. */
+    private static final double SERVED_GROWTH = 1.01;
     /** What a sign does to the share admitted: more for a balancer that sees few, within these limits. */
     private static final double LEAST_STEP = 0.02;
     private static final double MOST_STEP = 0.15;
@@ -23,14 +25,11 @@
     static final double SLOWNESS = -1;
     private static final double LEAST_ADMITTED = 0.05;
     private static final int WRITE_SMOOTHING = 8;
-    private static final int ERROR_SMOOTHING = 64;
-    private static final double MOST_ERRORS = 0.1;
     private static final int USUAL_SMOOTHING = 256;
 
     private final Settings settings;
+    /** Share let through of what may well burden the origin: writes, and further attempts of reads. */
     private double fills = 1;
-    /** Share of late reads at caches that ended in an error: their fetch failed. */
-    private double fetchErrors;
     private double admitted = 1;
     private long loadAt;
     /** Attempts that are out when caches answer quickly and little is shed. */
@@ -116,29 +115,20 @@
         writeTime += (took - writeTime) / WRITE_SMOOTHING;
     }
 
-    /** A read or write that needed the origin ended. */
+    /** What tells of the origin ended: a fill, a write, or a repeat of what failed at another cache. */
     void fillResult(boolean failed) {
         fills = failed ? Math.max(LEAST_FILLS, fills * FILL_CUT) : Math.min(1, fills * FILL_GROWTH);
     }
 
-    /** A read at a cache that fetches for itself was served or ended in an error. */
-    void readResult(boolean error) {
-        fetchErrors += ((error ? 1 : 0) - fetchErrors) / ERROR_SMOOTHING;
-    }
-
-    /**
-     * Whether a further attempt at another cache may make it fetch too. Guards against an origin kept from
-     * recovering by repeats and copies of reads that only it can serve.
-     */
-    boolean mayFetchAgain() {
-        return fetchErrors < MOST_ERRORS;
+    /** A cache that fetches for itself served a read at the first attempt. */
+    void readServed() {
+        fills = Math.min(1, fills * SERVED_GROWTH);
     }
 
     String gauges() {
         String text = "admitted " + Math.round(admitted * 100) + "% usual " + Math.round(usual) + " quick "
                 + signs[0] + " slow " + signs[1] + " rejected " + signs[2]
-                + " fills " + Math.round(fills * 100) + "%"
-                + " fetch-errors " + Math.round(fetchErrors * 100) + "%";
+                + " fills " + Math.round(fills * 100) + "%";
         Arrays.fill(signs, 0);
         return text;
     }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -279,7 +279,7 @@
         search(now, flight);
         Host host = untried(flight, candidates.width);
         if (host != null && maySend(now, flight, host)
-                && !admission.overloaded() && admission.mayFetchAgain() && hedging.spendOnCopy(now)) {
+                && !admission.overloaded() && mayFetchAgain(flight) && hedging.spendOnCopy(now)) {
             send(now, flight, host);
         }
     }
@@ -360,12 +360,19 @@
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
             admission.fillResult(reason != Reason.OK || now - attempt.sentAt > flight.requestClass.aim());
-        } else if (!settings.aside() && !flight.request.write()
-                && (reason == Reason.ERROR || reason == Reason.OK)) {
-            admission.readResult(reason == Reason.ERROR);
-        } else if (!settings.aside() && flight.request.write()
-                && (reason == Reason.ERROR || reason == Reason.OK)) { // a time-out tells nothing
-            admission.fillResult(reason != Reason.OK);
+        } else if (!settings.aside()) {
+            learnOfOrigin(flight, attempt == flight.attempts[0], reason);
+        }
+    }
+
+    /** A first error may be the cache's own; that another cache fails as well tells of the origin behind. */
+    private void learnOfOrigin(Flight flight, boolean first, Reason reason) {
+        if (reason == Reason.ERROR && !first) {
+            admission.fillResult(true);
+        } else if (reason == Reason.OK && (flight.request.write() || !first)) {
+            admission.fillResult(false);
+        } else if (reason == Reason.OK) {
+            admission.readServed();
         }
     }
 
@@ -399,13 +406,21 @@
 
     /** A first repeat of what cost no host any work is free, unless the hosts look pressed. */
     private boolean mayRepeat(long now, Flight flight, Reason reason) {
-        if (reason == Reason.ERROR && !admission.mayFetchAgain()) {
+        if (reason == Reason.ERROR && !mayFetchAgain(flight)) {
             return false;
         }
         boolean pressed = settings.aside() || admission.overloaded();
         return hedging.spendOnRepeat(now, reason.neverRan && flight.sent == 1 && !pressed);
     }
 
+    /**
+     * Whether a further attempt may make another cache fetch too. Guards against an origin that is kept from
+     * recovering by repeats and copies of what only it can serve.
+     */
+    private boolean mayFetchAgain(Flight flight) {
+        return settings.aside() || admission.fill(flight.request.write(), health.nextUnit());
+    }
+
     private Host next(long now, Flight flight, Reason reason) {
         // Guards against a hot key's hosts passing it round among them, full, while the origin has room.
         boolean full = reason == Reason.REJECTED && originQuick(flight);
