Let a host that often fails give way to the other candidate for some seconds

Ruled out: the breaker at work (0 to 3 of 60 open); it takes nine failures with no success between (HostHealth.strike, close), which such a host never shows.

--- a/src/main/java/eiderscale/Candidates.java
+++ b/src/main/java/eiderscale/Candidates.java
@@ -12,6 +12,8 @@
     /** Hosts of capacity given to a hot key, for each host's worth of traffic that it draws. */
     private static final double ROOM = 3;
     private static final double SLOWER = 2;
+    /** Requests in flight that a host counts as having while it is suspect. */
+    private static final int SUSPICION = 2;
     private static final int SLOTS = 256;
     /** Requests, or time, after which all counts are halved, and the least that tell a share. */
     private static final int WINDOW = 256;
@@ -97,13 +99,15 @@
     }
 
     /** The candidate with the fewest of our requests in flight; among equals the nearest if not slow. */
-    Host leastInFlight() {
+    Host leastInFlight(long now) {
         // With many balancers most counts are 0 and tell nothing: then latency does.
         Host best = null;
+        int least = 0;
         for (int i = 0; i < count && i < width; i++) {
-            if (best == null || top[i].inFlight < best.inFlight
-                    || top[i].inFlight == best.inFlight && best.latency > SLOWER * top[i].latency) {
+            int busy = top[i].inFlight + (health.suspect(now, top[i]) ? SUSPICION : 0);
+            if (best == null || busy < least || busy == least && best.latency > SLOWER * top[i].latency) {
                 best = top[i];
+                least = busy;
             }
         }
         return best;
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -19,6 +19,10 @@
     static final double CROWDED = 0.1;
     private static final double MOST_CROWD = 8;
     private static final double LATENCY_WEIGHT = 0.1;
+    /** A host is suspect while its late failures, newest first, lie over all hosts' by so much: two in three. */
+    private static final double SUSPECT_OVER = 0.3;
+    private static final double SUSPECT_WEIGHT = 0.3;
+    private static final double SUSPECT_FADE_NS = 8e9;
 
     /** One server as this balancer sees it. */
     static final class Host {
@@ -35,6 +39,9 @@
         int inFlight;
         /** Mean time of its answers lately. */
         double latency;
+        /** Share of its late attempts that failed, as of {@code failingAt}; it fades, so that it is tried again. */
+        private double failing;
+        private long failingAt;
         /** Attempts since the last line of the log: answered, turned away, failed. */
         private final int[] ends = new int[3];
         /** Start of the slow start, 0 if warm. */
@@ -193,6 +200,8 @@
             host.ends[reason.answered() ? 0 : failed ? 2 : 1]++;
         }
         if (reason.answered() || failed) {
+            host.failing = faded(now, host) * (1 - SUSPECT_WEIGHT) + (failed ? SUSPECT_WEIGHT : 0);
+            host.failingAt = now;
             failing += FAILING_WEIGHT * ((failed ? 1 : 0) - failing);
         }
         if (reason.answered() || reason == Reason.REJECTED) {
@@ -206,6 +215,18 @@
         host.trial = false;
     }
 
+    private static double faded(long now, Host host) {
+        return host.failing * Math.exp((host.failingAt - now) / SUSPECT_FADE_NS);
+    }
+
+    /**
+     * Whether the host fails more than others of late. Guards against a host that fails half of its requests,
+     * which each of many balancers meets too seldom for its breaker to open.
+     */
+    boolean suspect(long now, Host host) {
+        return faded(now, host) > failing + SUSPECT_OVER;
+    }
+
     private static void close(Host host) {
         host.evidence = 0;
         host.openUntil = 0;
@@ -221,16 +242,18 @@
     String gauges() {
         int open = 0;
         int cold = 0;
+        int suspects = 0;
         StringBuilder ends = new StringBuilder();
         for (int i = 0; i < cacheCount; i++) {
             open += caches[i].openUntil != 0 ? 1 : 0;
             cold += caches[i].coldSince != 0 ? 1 : 0;
+            suspects += caches[i].failing > failing + SUSPECT_OVER ? 1 : 0;
             int[] of = caches[i].ends;
             ends.append(' ').append(caches[i].inFlight).append('+').append(of[0]).append('/').append(of[1])
                     .append('/').append(of[2]);
             Arrays.fill(of, 0);
         }
-        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold
+        return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + " suspects " + suspects
                 + ", each: in flight + answered/turned away/failed" + ends;
     }
 
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -166,7 +166,7 @@
         if (!settings.aside() || !flight.request.write()) {
             health.wanted(now);
             search(now, flight);
-            host = candidates.leastInFlight();
+            host = candidates.leastInFlight(now);
         }
         host = host == null && settings.aside() ? origin() : host;
         if (host == null) {
@@ -277,21 +277,26 @@
             return;
         }
         search(now, flight);
-        Host host = untried(flight, candidates.width);
+        Host host = untried(now, flight, candidates.width);
         if (host != null && maySend(now, flight, host)
                 && !admission.overloaded() && mayFetchAgain(flight) && hedging.spendOnCopy(now)) {
             send(now, flight, host);
         }
     }
 
-    private Host untried(Flight flight, int width) {
+    /** The first host in hash order that this request has not tried, a suspect one only for want of others. */
+    private Host untried(long now, Flight flight, int width) {
+        Host suspect = null;
         for (int i = 0; i < candidates.count && i < width; i++) {
             Host host = candidates.top[i];
             if (Arrays.stream(flight.attempts, 0, flight.sent).noneMatch(a -> a.host == host)) {
-                return host;
+                if (!health.suspect(now, host)) {
+                    return host;
+                }
+                suspect = suspect == null ? host : suspect;
             }
         }
-        return null;
+        return suspect;
     }
 
     @Override
@@ -428,7 +433,7 @@
             return flight.request.write() || admission.fill(false, health.nextUnit()) ? origin() : null;
         }
         search(now, flight);
-        Host host = untried(flight, candidates.count);
+        Host host = untried(now, flight, candidates.count);
         return host == null && settings.aside() ? origin() : host;
     }
 
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -71,6 +71,25 @@
         assertTrue(sent.get(7L) > 40, "the last host failed like all others and got " + sent.get(7L));
     }
 
+    /** A host that failed three in four was met too seldom for its breaker, and chosen as before. */
+    @Test
+    void aHostThatOftenFailsGivesWayToTheOtherCandidate() {
+        Bed bed = bed().servers(60);
+        long bad = bed.request(1, Bed.READ, 5).server();
+        bed.outcome(1, 0, Reason.OK);
+        int met = 0;
+        for (int i = 10; i < 70; i++) {
+            boolean chosen = bed.request(i, Bed.READ, 5).server() == bad;
+            met += chosen ? 1 : 0;
+            bed.outcome(i, 0, chosen && i % 4 != 0 ? Reason.ERROR : Reason.OK);
+            bed.outcome(i, 1, Reason.OK);
+            bed.pass(700);
+        }
+        assertTrue(met > 2 && met < 25, "of 60 requests in 42 s: " + met);
+        bed.pass(10_000);
+        assertEquals(bad, bed.request(100, Bed.READ, 5).server(), "tried again");
+    }
+
     /** Each refusal sent the request round all hosts: seven attempts a request, nine in ten turned away. */
     @Test
     void retriesKeepToTheirBudget() {
