Take only hosts that answer for full ones: dead ones closed all idle connections

Cause: HostHealth.connectFailures passed a tenth (17 to 31 of 66 attempts got no connection) and Router.onOutcome then closed the idle connections of every host that answered. That is meant for hosts whose tables are full. Ruled out: idle time-outs (0 closed as idle), cancelled copies (0 to 4 a second), changed endpoints (none).

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -42,6 +42,8 @@
         /** Share of its late attempts that failed, as of {@code failingAt}; it fades, so that it is tried again. */
         private double failing;
         private long failingAt;
+        /** Attempts without a connection since it last answered. */
+        private int unconnected;
         /** Attempts since the last line of the log: answered, turned away, failed. */
         private final int[] ends = new int[3];
         /** Start of the slow start, 0 if warm. */
@@ -76,7 +78,7 @@
     /** First sends to caches wanted lately, older ones counting less. */
     private double searches;
     private long searchedAt;
-    /** Share of late attempts that got no connection. Guards against idle connections that fill tables. */
+    /** Share of late attempts that live hosts gave no connection. Guards against idle ones that fill tables. */
     double connectFailures;
     /** Share of late attempts that failed after they may have run, over all hosts. */
     private double failing;
@@ -189,7 +191,7 @@
         host.inFlight--;
         outstanding -= isOrigin(host) ? 0 : 1;
         boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
-        connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
+        learnOfTables(host, reason);
         if (reason.answered() || reason == Reason.TIMEOUT) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
         }
@@ -215,6 +217,20 @@
         host.trial = false;
     }
 
+    /**
+     * A host that answers although it left attempts without a connection has a full table; one that goes on
+     * saying nothing may as well be dead, and then idle connections to the others fill no table.
+     */
+    private void learnOfTables(Host host, Reason reason) {
+        if (reason == Reason.CONNECT_FAILED) {
+            host.unconnected++;
+        } else if (reason.answered()) {
+            connectFailures = 1 - (1 - connectFailures) * Math.pow(1 - FAILING_WEIGHT, host.unconnected);
+            connectFailures *= 1 - FAILING_WEIGHT;
+            host.unconnected = 0;
+        }
+    }
+
     private static double faded(long now, Host host) {
         return host.failing * Math.exp((host.failingAt - now) / SUSPECT_FADE_NS);
     }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -529,24 +529,39 @@
         bed.outcome(1, 0, Reason.CONNECT_FAILED);
         bed.outcome(1, 1, Reason.OK);
         assertTrue(bed.closed.isEmpty(), "one dead host is no reason");
-        for (int i = 10; i < 30; i++) {
+        for (int i = 10; i < 110; i++) {
             bed.request(i, Bed.READ, i);
-            bed.outcome(i, 0, Reason.CONNECT_FAILED);
+            bed.outcome(i, 0, i % 3 == 0 ? Reason.OK : Reason.CONNECT_FAILED);
+            bed.outcome(i, 1, i % 2 == 0 ? Reason.OK : Reason.CONNECT_FAILED);
         }
-        long host = bed.request(40, Bed.READ, 40).server();
         bed.closed.clear();
-        bed.outcome(40, 0, Reason.OK);
+        long host = bed.request(200, Bed.READ, 40).server();
+        bed.outcome(200, 0, Reason.OK);
         assertEquals(List.of(host), bed.closed);
-        for (int i = 100; i < 300; i++) {
+        for (int i = 300; i < 500; i++) {
             bed.request(i, Bed.READ, i);
             bed.outcome(i, 0, Reason.OK);
         }
         bed.closed.clear();
-        bed.request(400, Bed.READ, 5);
-        bed.outcome(400, 0, Reason.OK);
+        bed.request(600, Bed.READ, 5);
+        bed.outcome(600, 0, Reason.OK);
         assertTrue(bed.closed.isEmpty(), "they are kept again");
     }
 
+    /** A zone of dead hosts was taken for full tables: all idle connections to the living were closed. */
+    @Test
+    void deadHostsAreNoReasonToGiveUpConnectionsToOthers() {
+        Bed bed = bed().servers(60);
+        for (int i = 0; i < 400; i++) {
+            Bed.Sent sent = bed.request(i, Bed.READ, i);
+            for (int attempt = 0; sent != null && attempt < 6; attempt++) {
+                sent = bed.outcome(i, attempt, sent.server() <= 20 ? Reason.CONNECT_FAILED : Reason.OK);
+            }
+            bed.pass(15);
+        }
+        assertEquals(List.of(), bed.closed);
+    }
+
     /** While links were cut, retries multiplied what fed the slow start, and cold hosts were pushed over. */
     @Test
     void retriesDoNotFeedTheSlowStart() {
