--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -39,7 +39,7 @@
         int inFlight;
         /** Mean time of its answers lately. */
         double latency;
-        /** Share of its late attempts that failed, as of {@code failingAt}; it fades, so that it is tried again. */
+        /** Share of its late attempts that failed, as of {@code failingAt}; it fades, for a further try. */
         private double failing;
         private long failingAt;
         /** Attempts without a connection since it last answered. */
--- a/src/main/java/eiderscale/net/Config.java
+++ b/src/main/java/eiderscale/net/Config.java
@@ -33,7 +33,8 @@
 
     /** The bounds that it runs within, for the log. */
     String limits() {
-        return "cores " + cores + " for up to " + Math.round(perSecond()) + " requests/s sockets " + sockets + " idle-close " + site.idleTime / Clock.MILLISECOND
+        return "cores " + cores + " for up to " + Math.round(perSecond()) + " requests/s sockets " + sockets
+                + " idle-close " + site.idleTime / Clock.MILLISECOND
                 + " ms connect " + site.connectTimeout / Clock.MILLISECOND + " ms attempts "
                 + site.settings.maxAttempts() + " aims " + site.settings.classes().stream()
                 .map(c -> c.aim() / Clock.MILLISECOND + " of " + c.deadline() / Clock.MILLISECOND + " ms").toList();
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -5,7 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
-/** The real balancer as a program: reads its configuration, rehearses, serves until SIGTERM, and ends with 0. */
+/** The real balancer as a program: reads its configuration, may rehearse, serves until SIGTERM, and ends with 0. */
 public final class Main {
     private Main() {
     }
