--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -78,7 +78,7 @@
     /** First sends to caches wanted lately, older ones counting less. */
     private double searches;
     private long searchedAt;
-    /** Share of late attempts that live hosts gave no connection. Guards against idle ones that fill tables. */
+    /** Share of late attempts that live hosts gave no connection. Guards against idle ones filling tables. */
     double connectFailures;
     /** Share of late attempts that failed after they may have run, over all hosts. */
     private double failing;
