Feed cold hosts by the capacity that is there and a new balancer's full rate

Lines at fault, HostHealth.withinBudget: the budget rests on the sends of the last six seconds, which a balancer that started a second ago has not made, and on one portion in so many hosts, as if all of them could carry one.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -78,6 +78,7 @@
     /** First sends to caches wanted lately, older ones counting less. */
     private double searches;
     private long searchedAt;
+    private long firstSearchAt;
     /** Share of late attempts that live hosts gave no connection. Guards against idle ones filling tables. */
     double connectFailures;
     /** Share of late attempts that failed after they may have run, over all hosts. */
@@ -148,8 +149,7 @@
         if (host.coldSince == 0) {
             return true;
         }
-        double grown = Math.max(0.0, now - host.coldSince) / Math.max(1, settings.warmWithin());
-        double share = settings.coldFrom() + (1 - settings.coldFrom()) * grown;
+        double share = share(now, host);
         if (share >= 1) {
             host.coldSince = 0;
             return true;
@@ -158,6 +158,12 @@
         return ((hash & 2047) < share * 2048 || panic) && withinBudget(now, host, share);
     }
 
+    /** What a host that started lately can do at the least, as a share of its full capacity. */
+    private double share(long now, Host host) {
+        double grown = Math.max(0.0, now - host.coldSince) / Math.max(1, settings.warmWithin());
+        return Math.min(1, settings.coldFrom() + (1 - settings.coldFrom()) * grown);
+    }
+
     /**
      * Slow start: a token bucket fed with the host's portion of our own sends, so that all balancers together
      * stay within what the cold host can do, however hot its keys are. It starts at a random level, lest many
@@ -166,7 +172,8 @@
     private boolean withinBudget(long now, Host host, double share) {
         // A live weight makes an idle newcomer look many times its size: it counts as average at most.
         double portion = Math.min(host.weight / Math.max(totalWeight, 1e-9), 1.0 / Math.max(1, cacheCount));
-        double perWindow = share * settings.tipMultiple() * FALL_MARGIN * searches / RATE_WINDOWS * portion;
+        double perWindow = share * settings.tipMultiple() * FALL_MARGIN * sendsPerWindow(now) * portion
+                * scarcity(now);
         double most = Math.max(1, perWindow * BURST);
         host.tokens += perWindow * (now - host.filledAt) / settings.fallTime();
         host.tokens = Math.min(most, host.tokens);
@@ -174,8 +181,28 @@
         return host.tokens >= (panic ? 0 : 1);
     }
 
+    /** First sends within a fall time, as lately; a balancer that is new has seen but a part of it. */
+    private double sendsPerWindow(long now) {
+        double span = RATE_WINDOWS * settings.fallTime();
+        double seen = Math.max(settings.fallTime(), now - firstSearchAt);
+        return searches / RATE_WINDOWS / (1 - Math.exp(-seen / span));
+    }
+
+    /**
+     * What a warm host has to carry, compared with one portion, while so many others are cold. Guards against
+     * cold hosts that stand idle while the few warm ones overflow.
+     */
+    private double scarcity(long now) {
+        double capacity = 0;
+        for (int i = 0; i < cacheCount; i++) {
+            capacity += caches[i].coldSince == 0 ? 1 : share(now, caches[i]);
+        }
+        return cacheCount / Math.max(1, capacity);
+    }
+
     /** A cache is wanted for a request's first send; retries, which multiply in trouble, do not count. */
     void wanted(long now) {
+        firstSearchAt = searches == 0 ? now : firstSearchAt;
         searches = 1 + searches * Math.exp((searchedAt - now) / (RATE_WINDOWS * settings.fallTime()));
         searchedAt = now;
     }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -562,6 +562,34 @@
         assertEquals(List.of(), bed.closed);
     }
 
+    /** Balancers restarted while most hosts were cold sent these a tenth, and the few warm ones overflowed. */
+    @Test
+    void coldHostsTakeTheirShareWhenFewAreWarm() {
+        int cold = 0;
+        for (int seed = 1; seed <= 20; seed++) {
+            cold += coldSendsOfANewBalancer(seed, 20, 25, 13, 150);
+        }
+        assertTrue(cold > 350 && cold < 900, "of 3000 requests: " + cold);
+    }
+
+    /** Requests of a balancer that has just started, to hosts of which the last ones have just started too. */
+    private static int coldSendsOfANewBalancer(int seed, int warm, int cold, long everyMs, int requests) {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.instances = 14;
+        Bed bed = new Bed(builder, seed);
+        List<Api.Server> list = new ArrayList<>();
+        for (int id = 1; id <= warm + cold; id++) {
+            list.add(Bed.server(id, Api.State.READY, id <= warm ? 0 : bed.now));
+        }
+        bed.list(list);
+        for (int i = 0; i < requests; i++) {
+            bed.request(i, Bed.READ, 1_000L * seed + i);
+            bed.outcome(i, 0, Reason.OK);
+            bed.pass(everyMs);
+        }
+        return (int) bed.sends.stream().filter(s -> s.server() > warm).count();
+    }
+
     /** While links were cut, retries multiplied what fed the slow start, and cold hosts were pushed over. */
     @Test
     void retriesDoNotFeedTheSlowStart() {
