Let a cold host's bucket hold two sends where its window's budget does

Requests come by chance: with a bucket of one token, which takes a second to fill, what comes soon after another finds the host shut, and half of the budget is never spent.

Line at fault: the depth in HostHealth.withinBudget, at least 1. Two fit where the budget of a fall time is two or more: all buckets emptied at once and a window's refill stay within twice the budget, which is half of the stated limit.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -174,7 +174,8 @@
         double portion = Math.min(host.weight / Math.max(totalWeight, 1e-9), 1.0 / Math.max(1, cacheCount));
         double perWindow = share * settings.tipMultiple() * FALL_MARGIN * sendsPerWindow(now) * portion
                 * scarcity(now);
-        double most = Math.max(1, perWindow * BURST);
+        // Requests that come singly, by chance, must find a second token, or half of the budget is lost.
+        double most = Math.max(1, Math.max(Math.min(2, perWindow), perWindow * BURST));
         host.tokens += perWindow * (now - host.filledAt) / settings.fallTime();
         host.tokens = Math.min(most, host.tokens);
         host.filledAt = now;
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -572,6 +572,28 @@
         assertTrue(cold > 350 && cold < 900, "of 3000 requests: " + cold);
     }
 
+    /** Requests come by chance: with one token, what came soon after another found a cold host shut. */
+    @Test
+    void aColdHostTakesTwoRequestsThatComeTogether() {
+        int most = 0;
+        for (int seed = 1; seed <= 20; seed++) {
+            Bed bed = new Bed(new Bed.SettingsBuilder(), seed).servers(9);
+            for (int i = 0; i < 400; i++) {
+                bed.request(i, Bed.READ, i);
+                bed.outcome(i, 0, Reason.OK);
+                bed.pass(20);
+            }
+            bed.delta(Bed.server(10, Api.State.READY, bed.now));
+            bed.pass(2_000);
+            bed.sends.clear();
+            for (int i = 1_000; i < 1_040; i++) {
+                bed.request(i, Bed.READ, i);
+            }
+            most = Math.max(most, (int) bed.sends.stream().filter(s -> s.server() == 10).count());
+        }
+        assertEquals(2, most, "at once, of 40 requests");
+    }
+
     /** Requests of a balancer that has just started, to hosts of which the last ones have just started too. */
     private static int coldSendsOfANewBalancer(int seed, int warm, int cold, long everyMs, int requests) {
         Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
