--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -215,7 +215,7 @@
         if (attempt.cut != null) {
             attempt.cut.cancel(false);
         }
-        counters.outcome(reason);
+        counters.outcome(attempt, reason);
         Exchange exchange = attempt.exchange;
         exchange.mayHaveRun |= !reason.neverRan;
         post(exchange, () -> {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -24,6 +24,9 @@
     long refusedUnsent;
     /** Ended unserved in the second half of their time with no attempt written whole. */
     long heldBack;
+    /** Attempts of writes, and further attempts; of each how many ended in an error. */
+    private final long[] writes = new long[2];
+    private final long[] further = new long[2];
     /** Clients' connections ended by us: idle ones for want of room, and new ones past all room. */
     long evicted;
     long turnedAway;
@@ -42,8 +45,17 @@
     private long lateTimers;
     private long latest;
 
-    void outcome(Reason reason) {
+    void outcome(Attempt attempt, Reason reason) {
         outcomes[reason.ordinal()]++;
+        int error = reason == Reason.ERROR ? 1 : 0;
+        if (attempt.exchange.command.write) {
+            writes[0]++;
+            writes[1] += error;
+        }
+        if (attempt.number > 0) {
+            further[0]++;
+            further[1] += error;
+        }
     }
 
     void timer(long late) {
@@ -89,6 +101,8 @@
                 evicted, turnedAway, silent, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
                 slowDeliveries, longestDelivery / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
+        line.append(String.format(Locale.ROOT, " errors of writes %d/%d of further %d/%d |", writes[1], writes[0],
+                further[1], further[0]));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
                 line.append(' ').append(reason).append(' ').append(outcomes[reason.ordinal()]);
