--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -246,14 +246,16 @@
     }
 
     /**
-     * A host that answers although it left attempts without a connection has a full table; one that goes on
-     * saying nothing may as well be dead, and then idle connections to the others fill no table.
+     * A host that answers although it left an attempt without a connection has a full table. One whose
+     * breaker opened over that may as well have been dead: idle connections to the others fill no table.
      */
     private void learnOfTables(Host host, Reason reason) {
         if (reason == Reason.CONNECT_FAILED) {
             host.unconnected++;
         } else if (reason.answered()) {
-            connectFailures = 1 - (1 - connectFailures) * Math.pow(1 - FAILING_WEIGHT, host.unconnected);
+            if (host.openUntil == 0 && host.unconnected > 0) {
+                connectFailures += FAILING_WEIGHT * (1 - connectFailures);
+            }
             connectFailures *= 1 - FAILING_WEIGHT;
             host.unconnected = 0;
         }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -559,7 +559,12 @@
             }
             bed.pass(15);
         }
-        assertEquals(List.of(), bed.closed);
+        for (int i = 400; i < 800; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.outcome(i, 0, Reason.OK);
+            bed.pass(15);
+        }
+        assertEquals(List.of(), bed.closed, "while they are dead, and when they are back");
     }
 
     /** Balancers restarted while most hosts were cold sent these a tenth, and the few warm ones overflowed. */
