Prefer the own zone's candidate where both are idle

A balancer meets a host about once a second, so that nearly all first sends find both candidates idle and go to the first in hash order, whatever its zone (Candidates.leastInFlight).

Where caches fetch for themselves, the one in the own zone now comes first among idle candidates unless it is slow; fewer in flight still decide.

--- a/src/main/java/eiderscale/Candidates.java
+++ b/src/main/java/eiderscale/Candidates.java
@@ -98,14 +98,20 @@
         return (int) Math.max(ORDINARY, Math.min(MOST, Math.ceil(share * health.cacheCount * ROOM)));
     }
 
-    /** The candidate with the fewest of our requests in flight; among equals the nearest if not slow. */
-    Host leastInFlight(long now) {
+    /**
+     * The candidate with the fewest of our requests in flight; among equals the first if not slow. With
+     * {@code ownZone}, one in our own zone comes first among idle ones: crossing costs time and a price.
+     */
+    Host leastInFlight(long now, boolean ownZone) {
         // With many balancers most counts are 0 and tell nothing: then latency does.
         Host best = null;
         int least = 0;
         for (int i = 0; i < count && i < width; i++) {
             int busy = top[i].inFlight + (health.suspect(now, top[i]) ? SUSPICION : 0);
-            if (best == null || busy < least || busy == least && best.latency > SLOWER * top[i].latency) {
+            boolean nearer = ownZone && busy == 0 && top[i].inOwnZone && best != null && !best.inOwnZone
+                    && top[i].latency <= SLOWER * best.latency;
+            if (best == null || busy < least || busy == least && best.latency > SLOWER * top[i].latency
+                    || busy == least && nearer) {
                 best = top[i];
                 least = busy;
             }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -166,7 +166,8 @@
         if (!settings.aside() || !flight.request.write()) {
             health.wanted(now);
             search(now, flight);
-            host = candidates.leastInFlight(now);
+            // Where balancers meet the origin themselves, the search has weighed the zones by its state.
+            host = candidates.leastInFlight(now, !settings.aside());
         }
         host = host == null && settings.aside() ? origin() : host;
         if (host == null) {
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -51,6 +51,19 @@
         assertNotEquals(nearest, other);
     }
 
+    /** With counts of 0 nearly everywhere, two in three requests crossed zones though an idle host stood near. */
+    @Test
+    void amongIdleCandidatesTheOneInOurZoneComesFirst() {
+        Bed bed = bed().servers(6);
+        long nearest = bed.request(1, Bed.READ, 5).server();
+        long other = bed.request(2, Bed.READ, 5).server();
+        bed.outcome(1, 0, Reason.OK);
+        bed.outcome(2, 0, Reason.OK);
+        bed.delta(new Api.Server(nearest, 1, 0, 0, Api.State.READY, 1, 0));
+        assertEquals(other, bed.request(3, Bed.READ, 5).server());
+        assertEquals(nearest, bed.request(4, Bed.READ, 5).server(), "fewer in flight go before the zone");
+    }
+
     /** A slow origin failed every miss, breakers opened everywhere and keys moved to hosts that lacked them. */
     @Test
     void breakersStayClosedWhenHostsFailAlike() {
