Let first subscriptions come 0.2 s apart instead of spread over half the ask-within time

Line at fault: Router.askLater spread first subscriptions over half of the ask-within time, whatever their number. Ruled out: failed calls (none), a slow answer (rank 1 had its list at once).

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -11,7 +11,9 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final int TIMER_ALARM = 1;
     private static final int TIMER_LIST = 2;
-    /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
+    /** First subscriptions come at most so far apart: a list from before a restart grows old. */
+    private static final long SUBSCRIBE_APART_NS = 200_000_000L;
+    /** Part of the ask-within time over which subscriptions are spread, and of each back-off step. */
     private static final double SUBSCRIBE_SPREAD = 0.5;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
@@ -115,8 +117,10 @@
 
     /** Subscribes in this instance's turn: its rank and chance keep the instances out of step. */
     private void askLater(long now) {
-        double turn = (settings.rank() + health.nextUnit()) / Math.max(1, settings.instances());
-        double spread = settings.askWithin() * SUBSCRIBE_SPREAD * turn;
+        int instances = Math.max(1, settings.instances());
+        double apart = settings.askWithin() * SUBSCRIBE_SPREAD / instances;
+        apart = listFailures == 0 ? Math.min(SUBSCRIBE_APART_NS, apart) : apart;
+        double spread = apart * (settings.rank() + health.nextUnit());
         actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
     }
 
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -64,6 +64,21 @@
         assertEquals(nearest, bed.request(4, Bed.READ, 5).server(), "fewer in flight go before the zone");
     }
 
+    /** Of ten balancers restarted at once the last asked for news five seconds later, its list long out of date. */
+    @Test
+    void aRestartedBalancerAsksForNewsWithinItsTurn() {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.subscribe = true;
+        builder.instances = 14;
+        builder.rank = 13;
+        Bed bed = new Bed(builder);
+        bed.router.onList(bed.now, Api.ListMode.CACHED, List.of(Bed.server(1), Bed.server(2)));
+        bed.pass(2_500);
+        assertEquals(0, bed.subscriptions, "not with the others at once");
+        bed.pass(400);
+        assertEquals(1, bed.subscriptions);
+    }
+
     /** A slow origin failed every miss, breakers opened everywhere and keys moved to hosts that lacked them. */
     @Test
     void breakersStayClosedWhenHostsFailAlike() {
