--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -291,16 +291,18 @@
         int suspects = 0;
         StringBuilder ends = new StringBuilder();
         for (int i = 0; i < cacheCount; i++) {
-            open += caches[i].openUntil != 0 ? 1 : 0;
-            cold += caches[i].coldSince != 0 ? 1 : 0;
-            suspects += caches[i].failing > failing + SUSPECT_OVER ? 1 : 0;
-            int[] of = caches[i].ends;
-            ends.append(' ').append(caches[i].inFlight).append('+').append(of[0]).append('/').append(of[1])
-                    .append('/').append(of[2]);
+            Host host = caches[i];
+            open += host.openUntil != 0 ? 1 : 0;
+            cold += host.coldSince != 0 ? 1 : 0;
+            suspects += host.failing > failing + SUSPECT_OVER ? 1 : 0;
+            int[] of = host.ends;
+            ends.append(host.inOwnZone ? " *" : " ").append(host.inFlight).append('+').append(of[0])
+                    .append('/').append(of[1]).append('/').append(of[2])
+                    .append('@').append((long) (host.latency / 1e6));
             Arrays.fill(of, 0);
         }
         return "caches " + cacheCount + " open-breakers " + open + " cold " + cold + " suspects " + suspects
-                + ", each: in flight + answered/turned away/failed" + ends;
+                + ", each, * in our zone: in flight + answered/turned away/failed @ latency ms" + ends;
     }
 
     /** A random number in [0, 1) from the seed. */
