Learn a host's latency by time, so that one met seldom is known by its last answer

In most balancers both candidates of a key have none in flight, so the tie is decided by latency.

Cause: HostHealth.onEnd moved the latency by a tenth for each answer. A balancer with ten requests a second meets each of 60 hosts once in 6 s, so that a jam had to last for half a minute before it was known. The weight now follows the time since the last answer; at 25 meetings a second it is a tenth as before.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -18,7 +18,9 @@
     /** Share of attempts without a connection from which on idle ones are given up: dead hosts are fewer. */
     static final double CROWDED = 0.1;
     private static final double MOST_CROWD = 8;
+    /** Weight of an answer in its host's latency if they come fast; one met seldom is known by its last. */
     private static final double LATENCY_WEIGHT = 0.1;
+    private static final double LATENCY_FADE_NS = 5e9;
     /** A host is suspect while its late failures lie over all hosts' by so much: two in three, about. */
     private static final double SUSPECT_OVER = 0.3;
     private static final double SUSPECT_WEIGHT = 0.3;
@@ -37,8 +39,9 @@
         State state = State.GONE;
         long startedAt;
         int inFlight;
-        /** Mean time of its answers lately. */
+        /** Mean time of its answers lately, as of {@code latencyAt}. */
         double latency;
+        private long latencyAt;
         /** Share of its late attempts that failed, as of {@code failingAt}; it fades, for a further try. */
         private double failing;
         private long failingAt;
@@ -221,7 +224,10 @@
         boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
         learnOfTables(host, reason);
         if (reason.answered() || reason == Reason.TIMEOUT) {
-            host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
+            double weight = host.latency == 0 ? 1
+                    : Math.max(LATENCY_WEIGHT, 1 - Math.exp((host.latencyAt - now) / LATENCY_FADE_NS));
+            host.latency += weight * (took - host.latency);
+            host.latencyAt = now;
         }
         if (isOrigin(host)) {
             return;
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -51,6 +51,22 @@
         assertNotEquals(nearest, other);
     }
 
+    /** A host met every few seconds stayed first choice for ten slow answers, half a minute of a jam. */
+    @Test
+    void aHostMetSeldomIsKnownByItsLastAnswer() {
+        Bed bed = bed().servers(6);
+        long nearest = bed.request(1, Bed.READ, 5).server();
+        long other = bed.request(2, Bed.READ, 5).server();
+        bed.pass(100);
+        bed.outcome(1, 0, Reason.OK);
+        bed.outcome(2, 0, Reason.OK);
+        bed.pass(10_000);
+        assertEquals(nearest, bed.request(3, Bed.READ, 5).server());
+        bed.pass(900);
+        bed.outcome(3, 0, Reason.OK);
+        assertEquals(other, bed.request(4, Bed.READ, 5).server());
+    }
+
     /** With counts of 0 nearly everywhere, two in three requests crossed zones though an idle host stood near. */
     @Test
     void amongIdleCandidatesTheOneInOurZoneComesFirst() {
