--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -221,8 +221,7 @@
         post(exchange, () -> {
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
-                counters.served++;
-                counters.missed += "0".equals(answer.flag(1, 'h')) ? 1 : 0;
+                counters.served(answer.flag(1, 'h'), Clock.now() - attempt.sentAt);
                 open--;
                 exchange.answer(answerLine(exchange.command, answer), answer.data());
             }
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import eiderscale.Api.Reason;
+import java.util.Arrays;
 import java.util.Locale;
 
 /** Sparse counts on standard error, to find causes by: how requests and attempts end, and how late we run. */
@@ -8,9 +9,12 @@
     private static final String PREFIX = "stairshelf: ";
     private final long[] outcomes = new long[Reason.values().length];
     long taken;
-    long served;
+    private long served;
     /** Of those served, how many their host had to fetch. */
-    long missed;
+    private long missed;
+    /** Reads answered since the last line, and their time: those their host held, and those it fetched. */
+    private final long[] reads = new long[2];
+    private final long[] readTime = new long[2];
     long refused;
     long failed;
     long clientsGone;
@@ -58,6 +62,21 @@
         }
     }
 
+    /** A request was served; {@code hit} is the answer's word on it, null for a write. */
+    void served(String hit, long took) {
+        served++;
+        if (hit != null) {
+            int fetched = "0".equals(hit) ? 1 : 0;
+            missed += fetched;
+            reads[fetched]++;
+            readTime[fetched] += took;
+        }
+    }
+
+    private double meanReadMs(int fetched) {
+        return readTime[fetched] / 1e6 / Math.max(1, reads[fetched]);
+    }
+
     void timer(long late) {
         timers++;
         lateTimers += late > 5 * Clock.MILLISECOND ? 1 : 0;
@@ -101,6 +120,8 @@
                 evicted, turnedAway, silent, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
                 slowDeliveries, longestDelivery / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
+        line.append(String.format(Locale.ROOT, " hits %d mean %.0f ms fetched %d mean %.0f ms |", reads[0],
+                meanReadMs(0), reads[1], meanReadMs(1)));
         line.append(String.format(Locale.ROOT, " errors of writes %d/%d of further %d/%d |", writes[1], writes[0],
                 further[1], further[0]));
         for (Reason reason : Reason.values()) {
@@ -108,6 +129,8 @@
                 line.append(' ').append(reason).append(' ').append(outcomes[reason.ordinal()]);
             }
         }
+        Arrays.fill(reads, 0);
+        Arrays.fill(readTime, 0);
         latest = 0;
         longestWay = 0;
         longestTurn = 0;
