--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -95,12 +95,9 @@
                           boolean repeat, boolean write) {
     }
 
-    /**
-     * The end of an attempt. {@code closed}: the request has its final answer. {@code fetched}: the server
-     * told that it did not hold what it served.
-     */
+    /** The end of an attempt. {@code closed}: the request has its final answer. */
     public record Outcome(long request, int attempt, Reason reason, long took, boolean closed,
-                          boolean fetched, float[] report) {
+                          float[] report) {
     }
 
     /** Events in. All times are nanoseconds of the caller's clock. */
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -337,7 +337,7 @@
             order.rest(now, flight.request.key());
         }
         health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt);
-        learn(now, flight, attempt, outcome.reason(), outcome.fetched());
+        learn(now, flight, attempt, outcome.reason());
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
         }
@@ -354,13 +354,11 @@
         }
     }
 
-    private void learn(long now, Flight flight, Attempt attempt, Reason reason, boolean fetched) {
+    private void learn(long now, Flight flight, Attempt attempt, Reason reason) {
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(now - attempt.sentAt);
         }
-        // A fetch within the aim takes its sign of overload back: it is slow by nature, on idle hosts too.
-        boolean quick = now - attempt.sentAt < (fetched && flight.slowAt == NEVER ? flight.requestClass.aim()
-                : admission.slowAfter(flight.requestClass));
+        boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
         if (!health.isOrigin(attempt.host) && quick && reason.answered()) {
             admission.load(now, Admission.QUICKNESS, health.outstanding);
         } else if (!health.isOrigin(attempt.host) && reason == Reason.REJECTED) {
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -225,11 +225,10 @@
                 open--;
                 exchange.answer(answerLine(exchange.command, answer), answer.data());
             }
-            boolean fetched = reason == Reason.OK && "0".equals(answer.flag(1, 'h'));
             float[] report = site.report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
             router.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
-                    exchange.over, fetched, report));
+                    exchange.over, report));
         });
     }
 
