Open silent, moved and pushed watches without waiting for the module's back-off

Log: "23.039 discovery failed: silence". All watches fall silent in the first seconds; what they miss counts as told 2 s after the call's wait. The wait was 20 s and silence was seen 2.5 s past it, and only then the module was told, whose back-off spreads the next calls over seconds. Ruled out: late sends (the pool's grace and the module's list agree; no send past a list that came). At fault: Discovery.WAIT_MS and SILENCE_MS, and fail(), which took a silent watch for a failed call. Now a watch waits 4 s (with 2 s past it, the 6 s of the protocol), is given up 1 s later and opened anew at once. The same back-off kept a failed first call after SIGHUP from being made again within the 4 s after which the new address counts as told, and a move before the first call waited for the module's turn. Where lists are pushed nobody ever called at all, as the module subscribes only where they are asked for.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -60,6 +60,7 @@
         this.router = module.create(site.settings, config.seed(), this);
         Catalog known = config.known();
         onList(Api.ListMode.CACHED, known.members());
+        discovery.start();
     }
 
     // What comes in.
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -26,17 +26,27 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** Follows discovery's list of cache hosts, from when the module asks until a call fails. */
+/**
+ * Follows discovery's list of cache hosts: where it is asked for, from when the module asks until a call
+ * fails; where it is pushed, from the start, as it counts as told whether or not a watch is open.
+ */
 final class Discovery {
     /** Hears every list in order. A failure ends the watch; the module says when to ask again. */
     interface Listener {
         void onList(ListMode mode, List<Catalog.Member> members);
     }
 
-    /** How long a watch may wait for news; each call costs discovery work. */
-    private static final long WAIT_MS = 20_000;
-    /** Silence for so long past that wait is a failure; a call may stand in line for two seconds. */
-    private static final long SILENCE_MS = 2_500;
+    /**
+     * How long a watch may wait for news. One that falls silent counts as told 6 s later, or 2 s past a
+     * longer wait: shorter waits gain nothing by that clock, longer ones leave a balancer blind for longer.
+     */
+    private static final long WAIT_MS = 4_000;
+    /** Silence for so long past that wait ends a watch: half of the two seconds is left to open it anew. */
+    private static final long SILENCE_MS = 1_000;
+    /** Between calls that fail while the list may count as told without them. */
+    private static final long RETRY_MS = 250;
+    /** For so long after a silence or a move; what an address has to tell counts as told 4 s after the move. */
+    private static final long HURRY = 4 * Clock.SECOND;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -46,44 +56,61 @@
     private final Site site;
     private final EventLoop loop;
     private final Listener listener;
+    private final boolean pushed;
     private long rev;
+    /** A call is out or about to be made. */
     private boolean watching;
-    private boolean wanted;
     private Call call;
+    private Future<?> next;
+    /** Until then failed calls are made again from here: the module's back-off would be late. */
+    private long hurryUntil;
 
     Discovery(Config config, EventLoop loop, Listener listener) {
         this.address = config.discovery();
         this.site = config.site();
         this.loop = loop;
         this.listener = listener;
+        this.pushed = !site.settings.subscribe();
         this.rev = config.known().rev();
     }
 
+    /** Where lists are pushed the module never asks, and is told from the first moment. */
+    void start() {
+        if (pushed) {
+            subscribe();
+        }
+    }
+
     /** Begins a watch from the last known version, unless one is on. */
     void subscribe() {
-        wanted = true;
         if (!watching) {
-            watching = true;
-            call();
+            callIn(0);
         }
     }
 
     /** Goes on at another address from the version held, and at once: the old one tells nothing new. */
-    void moveTo(InetSocketAddress next) {
-        if (next.equals(address)) {
+    void moveTo(InetSocketAddress replaced) {
+        if (replaced.equals(address)) {
             return;
         }
-        address = next;
-        Counters.log("discovery is at " + next + " now");
-        if (wanted && (!watching || call.abandon())) {
-            watching = true;
-            call();
+        address = replaced;
+        Counters.log("discovery is at " + replaced + " now");
+        hurryUntil = Clock.now() + HURRY;
+        if (call != null) {
+            call.abandon();
         }
+        callIn(0);
     }
 
-    private void call() {
-        call = new Call();
-        call.start();
+    private void callIn(long ms) {
+        watching = true;
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = loop.schedule(() -> {
+            call = new Call();
+            call.start();
+        }, ms, TimeUnit.MILLISECONDS);
     }
 
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
@@ -95,7 +122,7 @@
 
         void start() {
             // Before the connection: a refused one may fail within this very call.
-            silence = loop.schedule(() -> fail("silence"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+            silence = loop.schedule(this::fallSilent, WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -144,7 +171,7 @@
             end();
             rev = catalog.rev();
             long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
-            loop.schedule(Discovery.this::call, wait, TimeUnit.MILLISECONDS);
+            callIn(wait);
             listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
         }
 
@@ -163,7 +190,7 @@
             silence.cancel(false);
         }
 
-        /** Ends without a word to anyone; false if it was over, with the next call on its way already. */
+        /** Ends without a word to anyone; false if it was over already. */
         boolean abandon() {
             if (over) {
                 return false;
@@ -173,13 +200,26 @@
             return true;
         }
 
+        /** A silent watch looks like one with no news: it is opened anew, and the module's list stands. */
+        private void fallSilent() {
+            if (abandon()) {
+                Counters.log("discovery fell silent");
+                hurryUntil = Clock.now() + HURRY;
+                callIn(0);
+            }
+        }
+
         private void fail(String why) {
             if (!abandon()) {
                 return;
             }
-            watching = false;
             Counters.log("discovery failed: " + why);
-            listener.onList(ListMode.FAILED, List.of());
+            if (pushed || Clock.now() < hurryUntil) {
+                callIn(RETRY_MS);
+            } else {
+                watching = false;
+                listener.onList(ListMode.FAILED, List.of());
+            }
         }
     }
 }
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -138,6 +138,107 @@
         }
     }
 
+    /** A module that subscribes at its start only. */
+    private Api.Events askingOnce(Api.Actions actions) {
+        return new Scripted(actions) {
+            @Override
+            public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                told.add(mode + " " + servers.size());
+                if (mode == Api.ListMode.CACHED) {
+                    actions.wakeAt(now, 1);
+                }
+            }
+
+            @Override
+            public void onTimer(long now, int token) {
+                actions.subscribe();
+            }
+        };
+    }
+
+    private static void move(Rig rig, FakeHost moved) throws Exception {
+        rig.discovery = moved.endpoint();
+        Config replaced = Config.parse(Json.parse(rig.config("127.0.0.1:1").getBytes()));
+        rig.loop.submit(() -> rig.node.reload(replaced)).get();
+    }
+
+    /** What a silent watch misses counts as told soon after its wait: too soon for the module's back-off. */
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewAtOnce() throws Exception {
+        FakeHost discovery = new FakeHost(peer -> {
+            calls.add(peer.line());
+            if (calls.size() == 1) {
+                while (peer.line() != null) {
+                    continue; // Says nothing until the balancer gives up.
+                }
+            } else {
+                peer.write(list(41, true, Rig.target("s-9", "127.0.0.1:9", "Terminating")));
+            }
+        });
+        try (discovery; Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> askingOnce(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertEquals("FULL 1", next(told), "no failure in between, for the module to back off from");
+        }
+    }
+
+    /** What the new address has to tell counts as told 4 s after the signal. */
+    @Test
+    void aFirstCallThatFailsAtTheNewAddressIsMadeAgainWithoutTheModule() throws Exception {
+        try (FakeHost old = new FakeHost(Peer::awaitEnd); FakeHost moved = discovery();
+                Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = old.endpoint();
+            rig.module = (settings, seed, actions) -> askingOnce(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            answers.add("");
+            answers.add("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            answers.add(list(44, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            move(rig, moved);
+            assertEquals("FULL 1", next(told));
+        }
+    }
+
+    /** A move may come before the module's first call, which waits for its turn. */
+    @Test
+    void aMoveBeforeTheFirstCallBeginsTheWatch() throws Exception {
+        try (FakeHost moved = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    told.add(mode + " " + servers.size());
+                }
+            };
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            answers.add(list(44, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            move(rig, moved);
+            assertEquals("FULL 1", next(told));
+        }
+    }
+
+    @Test
+    void pushedListsAreWatchedFromTheStartAndOnAfterFailures() throws Exception {
+        try (FakeHost discovery = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.listed = "automatic";
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    told.add(mode + " " + servers.size());
+                }
+            };
+            answers.add("");
+            answers.add("");
+            answers.add(list(41, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertEquals("FULL 1", next(told));
+        }
+    }
+
     /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
     @Test
     void aHostsIdComesFromItsUidAlone() throws Exception {
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -31,7 +31,7 @@
              "ceilings":{"cancelling":true,"conn-idle-ns":%2$d000000,"connect-timeout-ns":%3$d000000,
                "max-attempts":4,"max-open":%4$d,"max-retry-after-ns":2000000000,"may-duplicate":true,
                "multiplex":1,"retry-after":true},
-             "discovery":"subscribe","load-report":{"fields":["busy"],"source":"answers"},
+             "discovery":"%7$s","load-report":{"fields":["busy"],"source":"answers"},
              "guarantees":{"ask-within-ns":2000000,"cold-from":0.2,"fall-ns":2000000000,
                "stop-sending-within-ns":%5$d,"tip-multiple":4.0,"warm-within-ns":20000000000}}
             """;
@@ -47,6 +47,8 @@
     int sockets = 1024;
     /** Requests a second within the tenant's share. */
     int allowance = 100_000;
+    /** How lists come: "subscribe" where they are asked for, "automatic" where they are pushed. */
+    String listed = "subscribe";
     String discovery = "127.0.0.1:1";
     Balancer.Module module = Router::new;
     Node node;
@@ -65,7 +67,7 @@
 
     String settings() {
         return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
-                graceMs * Clock.MILLISECOND, allowance);
+                graceMs * Clock.MILLISECOND, allowance, listed);
     }
 
     String config(String listen) {
