End a long line of expired ordered requests one by one, not within each other

Suspect from reading, confirmed by a test: Router.end gave the next request of a key its turn, and a turn that had expired ended at once, which called end again. A line of 50,000 requests that expire as a whole (a late loop, a head that holds its key past their time) ended in a StackOverflowError, which the ledger does not catch as it catches a module's exception. Ruled out: the alarms of held requests cannot shorten the line first, as they fire after the late event. At fault: the mutual recursion of Router.end and Router.takeTurn. Turns now wait in a queue. Beside it a guard that passes before and after: no turn, repeat or copy for a request whose client left.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -90,6 +90,9 @@
     private final KeyOrder<Flight> order;
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Alarm::at).thenComparingLong(alarm -> alarm.flight.request.id()));
+    /** Held requests whose turn may have come, as another's has just ended. */
+    private final Deque<Flight> turns = new ArrayDeque<>();
+    private boolean turning;
     private final int mostAttempts;
     private long timer;
     private int listFailures;
@@ -488,8 +491,21 @@
         }
         flights.remove(flight.request.id());
         Flight next = flight.ordered() ? order.leave(flight.request.key(), flight) : null;
-        if (next != null && next.held) {
-            takeTurn(now, next);
+        if (next == null || !next.held) {
+            return;
+        }
+        // One after the other: a turn may end at once, and a long line of such must not fill the stack.
+        turns.add(next);
+        if (turning) {
+            return;
+        }
+        turning = true;
+        try {
+            for (Flight turn = turns.poll(); turn != null; turn = turns.poll()) {
+                takeTurn(now, turn);
+            }
+        } finally {
+            turning = false;
         }
     }
 }
--- a/src/test/java/eiderscale/FurtherRulesTest.java
+++ b/src/test/java/eiderscale/FurtherRulesTest.java
@@ -143,4 +143,37 @@
         assertEquals(99, bed.outcome(1, 0, Reason.MISS).server());
         assertNull(bed.outcome(1, 1, Reason.CONNECT_FAILED));
     }
+
+    /** Each end gave the next its turn from within: a line that had expired as a whole filled the stack. */
+    @Test
+    void aLongLineOfExpiredRequestsEndsOneByOne() {
+        Bed bed = ordered();
+        int many = 50_000;
+        for (long id = 1; id <= many; id++) {
+            bed.request(id, Bed.KEYED, 5);
+        }
+        assertEquals(1, bed.sends.size(), "one at a time");
+        bed.now += 10_000 * Bed.MS;
+        bed.outcome(1, 0, Api.Reason.OK);
+        assertEquals(many - 1, bed.refusals.size());
+        assertEquals(1, bed.sends.size());
+    }
+
+    @Test
+    void aRequestWhoseClientLeftGetsNoTurnNoRepeatAndNoCopy() {
+        Bed bed = ordered();
+        bed.request(1, Bed.KEYED, 5);
+        bed.request(2, Bed.KEYED, 5);
+        bed.router.onClientGone(bed.now, 2);
+        bed.outcome(1, 0, Api.Reason.OK);
+        bed.pass(5_000);
+        assertEquals(1, bed.sends.size(), "no turn");
+        bed.warmDigest(64);
+        bed.request(3, Bed.READ, 6);
+        bed.router.onClientGone(bed.now, 3);
+        bed.pass(2_000);
+        bed.outcome(3, 0, Api.Reason.RESET);
+        bed.pass(2_000);
+        assertEquals(1, bed.sends.size(), "neither copy nor repeat");
+    }
 }
