Keep a host's connection from the next request until its answer's read is over

Suspects from reading, each confirmed by a test that fails on the old code: - A second answer in one read met the attempt that the first had put on the same connection: a stray "busy" names no request and passed for that attempt's own, as never run. - The same, some milliseconds late: a write that must not run twice was refused although it had run. Such writes now go on connections without an answer in the last 100 ms ("some milliseconds late"). - The beginning of a second answer, in the same read or later, stayed in the decoder, and the next answer was read as its rest. - A connection that came up, or stood idle, across a list with another endpoint or start for its host was written to all the same. At fault: Link.finish, which went idle before the read was over; Link.write and goIdle, which looked at the drain grace only. The piled-up conditions are explicit states now. ServingTest.keptConnectionsAreUsedAgain asked unrepeatable writes back to back, which now need a rested connection by intent; it asks repeatable ones instead, with the same count of connections.

--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -36,11 +36,19 @@
     private static final double IDLE_PART = 0.6;
     /** Taken off the drain grace, for the way of the last byte. */
     private static final long GRACE_MARGIN = 100 * Clock.MILLISECOND;
+    /**
+     * For so long a second answer may be on its way to a connection that had one. A stray "busy" names no
+     * request: it would pass for the next one's, and that as never run.
+     */
+    private static final long STRAY = 100 * Clock.MILLISECOND;
     private static final long NEVER = Long.MAX_VALUE;
 
     /** A cache host and what of it is free. */
     private static final class Host {
         InetSocketAddress endpoint;
+        long startedAt;
+        /** Goes up with each new endpoint or start: connections from before lead elsewhere, or nowhere. */
+        int generation;
         boolean gone;
         /** No send may start from then on. */
         long sendUntil = NEVER;
@@ -73,7 +81,7 @@
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
+                        (int) Math.min(Integer.MAX_VALUE, Math.max(1, site.connectTimeout / Clock.MILLISECOND)));
     }
 
     /** Applies a list before the module sees it, so that every host it may name is known here. */
@@ -86,9 +94,11 @@
         for (Catalog.Member member : members) {
             Host host = hosts.computeIfAbsent(member.server().id(), id -> new Host());
             unnamed.remove(host);
-            if (!member.endpoint().equals(host.endpoint)) {
-                closeIdle(host);
+            if (!member.endpoint().equals(host.endpoint) || member.server().startedAt() != host.startedAt) {
+                host.generation++;
                 host.endpoint = member.endpoint();
+                host.startedAt = member.server().startedAt();
+                closeIdle(host);
             }
             host.gone = member.server().state() == Api.State.GONE;
             if (member.server().state() == Api.State.READY) {
@@ -122,6 +132,9 @@
             link.retire();
             link = host.idle.peekLast();
         }
+        if (link != null && mustNotRunTwice(attempt)) {
+            link = rested(host);
+        }
         if (link != null) {
             link.leaveIdle();
             link.carry(attempt);
@@ -135,13 +148,31 @@
         }
     }
 
+    private boolean mustNotRunTwice(Attempt attempt) {
+        Api.RequestClass requestClass = site.settings.classes().get(attempt.exchange.command.requestClass);
+        return requestClass.effect() == Api.Effect.FRAGILE
+                || requestClass.effect() == Api.Effect.DEDUP && requestClass.group() != Api.Group.ALL;
+    }
+
+    /** The warmest idle connection on which no stray answer to what it carried before can be expected. */
+    private static Link rested(Host host) {
+        long latest = Clock.now() - STRAY;
+        for (Iterator<Link> warmest = host.idle.descendingIterator(); warmest.hasNext(); ) {
+            Link link = warmest.next();
+            if (link.answeredAt <= latest) {
+                return link.usable() ? link : null;
+            }
+        }
+        return null;
+    }
+
     /** Ends the wait for an attempt. One that was written costs its connection, as its answer may still come. */
     void abandon(Attempt attempt) {
         Link link = attempt.link;
         if (link != null) {
             link.release();
             if (link.sent != null) {
-                link.channel.close();
+                link.close();
             }
         }
     }
@@ -183,18 +214,31 @@
         return "hosts " + hosts.size() + " links " + links + " idle " + idle.size();
     }
 
-    /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
+    /**
+     * A connection's states. {@code SETTLING}: its attempt was answered, but the read that brought the answer is
+     * not over, and may bring more than was asked for.
+     */
+    private enum State { CONNECTING, CARRYING, SETTLING, IDLE, CLOSED }
+
+    /** One connection to a host. */
     final class Link extends SimpleChannelInboundHandler<MetaFrame> {
         private final Host host;
+        private final int generation;
+        private final MetaDecoder decoder = MetaDecoder.ofAnswers();
+        private State state = State.CONNECTING;
         private Channel channel;
+        /** What it carries, or will once it is up. */
         private Attempt attempt;
         /** The write of the present attempt; done when its last byte has left. */
         private ChannelFuture sent;
         private long idleSince;
+        /** When the last answer came; 0 if none ever did. */
+        private long answeredAt;
         private boolean counted;
 
         private Link(Host host) {
             this.host = host;
+            this.generation = host.generation;
         }
 
         private void connect(Attempt first) {
@@ -206,7 +250,7 @@
             ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
-                    fresh.pipeline().addLast(MetaDecoder.ofAnswers(), Link.this);
+                    fresh.pipeline().addLast(decoder, Link.this);
                 }
             }).connect(host.endpoint);
             channel = up.channel();
@@ -235,7 +279,7 @@
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
             if (attempt == null) {
-                // Cancelled or cut while the connection came up: nothing is written, the connection is kept.
+                // Withdrawn or cut while the connection came up: nothing is written, the connection is kept.
                 goIdle();
             } else {
                 write();
@@ -244,11 +288,12 @@
 
         private void write() {
             long now = Clock.now();
-            if (now >= host.sendUntil) {
-                // The drain grace ran out while the connection came up.
+            if (now >= host.sendUntil || generation != host.generation) {
+                // The drain grace ran out, or the host moved or started anew, while the connection came up.
                 finish(Reason.CONNECT_FAILED, null, true);
                 return;
             }
+            state = State.CARRYING;
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
             ByteBuf bytes = attempt.exchange.command.encode(channel.alloc(), leftMs);
             counters.way(now - attempt.sentAt);
@@ -257,9 +302,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame answer) {
-            if (attempt == null) {
+            if (state != State.CARRYING || attempt == null) {
                 // Nobody asked: what follows on this connection cannot be told apart any more.
-                retire();
+                close();
                 return;
             }
             Reason reason = judge(attempt.exchange.command, answer);
@@ -290,18 +335,30 @@
             release();
             sent = null;
             if (close) {
-                channel.close();
+                close();
             } else {
-                goIdle();
+                state = State.SETTLING;
+                answeredAt = Clock.now();
             }
             listener.onAnswer(ended, reason, answer);
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (state == State.SETTLING && !decoder.insideFrame()) {
+                goIdle();
+            } else if (state == State.SETTLING || state == State.IDLE && decoder.insideFrame()) {
+                // The beginning of a second answer, whose rest would be taken for the next one's.
+                close();
+            }
+        }
+
         private void goIdle() {
-            if (host.sendUntil != NEVER || !channel.isActive()) {
-                channel.close();
+            if (host.sendUntil != NEVER || generation != host.generation || !channel.isActive()) {
+                close();
                 return;
             }
+            state = State.IDLE;
             idleSince = Clock.now();
             host.idle.addLast(this);
             idle.add(this);
@@ -318,8 +375,13 @@
         }
 
         private void retire() {
-            leaveIdle();
             uncount();
+            close();
+        }
+
+        private void close() {
+            leaveIdle();
+            state = State.CLOSED;
             channel.close();
         }
 
@@ -346,6 +408,7 @@
         }
 
         private void lost() {
+            state = State.CLOSED;
             leaveIdle();
             uncount();
             if (attempt != null) {
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -42,6 +42,11 @@
         return new MetaDecoder("VA", 1);
     }
 
+    /** Whether the stream stands inside a frame: what comes next is not the start of one. */
+    boolean insideFrame() {
+        return data != null || skip > 0 || skipLine || actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (skip > 0) {
--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -15,7 +15,7 @@
 /** Connections that are long in coming up: what ended meanwhile must not be written once they are. */
 class ConnectingTest {
     /** A listening socket whose accept queue is full: connections to it come up only when it accepts. */
-    private static final class FullHost implements AutoCloseable {
+    static final class FullHost implements AutoCloseable {
         private static final int FULL_MS = 700;
         private static final int MOST_FILLERS = 50;
         final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
--- /dev/null
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -0,0 +1,189 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderscale.Api;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** Two events that cross: peers withhold, split or send too much at once, so that each order is forced. */
+class CrossingsTest {
+    private static final String FRAGILE = "ms 1 1 O%s Pc=copy,t=acme,d=%d\r\nx\r\n";
+    private static final int LONG_MS = 60_000;
+
+    private static String fragile(String id, int waitMs) {
+        return String.format(FRAGILE, id, waitMs);
+    }
+
+    private static void list(Rig rig, String... targets) throws Exception {
+        String json = "{\"rev\":8,\"all\":false,\"targets\":[" + String.join(",", targets) + "]}";
+        Catalog catalog = Catalog.parse(Json.parse(json.getBytes()), rig.site());
+        rig.loop.submit(() -> rig.node.onList(Api.ListMode.DELTA, catalog.members())).get();
+    }
+
+    // More answers than were asked for.
+
+    private static FakeHost script(FakeHost.Script... scripts) throws IOException {
+        FakeHost[] self = new FakeHost[1];
+        self[0] = new FakeHost(peer -> {
+            int number = self[0].connections.get() - 1;
+            scripts[Math.min(number, scripts.length - 1)].run(peer);
+            peer.awaitEnd();
+            self[0].ends.add("end");
+        });
+        return self[0];
+    }
+
+    private static void serveAll(Peer peer) throws IOException {
+        for (String line = peer.line(); line != null; line = peer.line()) {
+            if (line.startsWith("ms ")) {
+                peer.data(1);
+            }
+            peer.write(FakeHost.served(line));
+        }
+    }
+
+    private static String read(Peer peer) throws IOException {
+        String line = peer.line();
+        if (line != null && line.startsWith("ms ")) {
+            peer.data(1);
+        }
+        return line;
+    }
+
+    /** It came to the attempt that the first answer had put on the same connection, as "never ran". */
+    @Test
+    void aSecondAnswerInTheSameReadMeetsNoOtherRequest() throws Exception {
+        FakeHost host = script(peer -> {
+            peer.write(FakeHost.served(read(peer)) + "SERVER_ERROR busy\r\n");
+            serveAll(peer);
+        }, CrossingsTest::serveAll);
+        try (Rig rig = new Rig(host)) {
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                private final List<Long> waiting = new ArrayList<>();
+                private long server;
+
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    server = servers.isEmpty() ? server : servers.get(0).id();
+                }
+
+                @Override
+                public void onRequest(long now, Api.Request request) {
+                    waiting.add(request.id());
+                    if (waiting.size() == 2) {
+                        actions.send(waiting.get(0), server, 0);
+                    }
+                }
+
+                @Override
+                public void onOutcome(long now, Api.Outcome outcome) {
+                    if (outcome.reason() != Api.Reason.OK) {
+                        actions.fail(outcome.request());
+                    } else if (outcome.request() == waiting.get(0)) {
+                        actions.send(waiting.get(1), server, 0);
+                    }
+                }
+            };
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write("mg 1 v O1 Pc=read,t=acme,d=9000\r\nmg 2 v O2 Pc=read,t=acme,d=9000\r\n");
+                assertEquals("VA 1 O1", client.line());
+                client.data(1);
+                assertEquals("VA 1 O2", client.line());
+            }
+        }
+    }
+
+    /** A late "busy" names no request: a write that had run was refused as if it never had. */
+    @Test
+    void aLateSecondAnswerIsNotTakenForAnUnrepeatableWritesOwn() throws Exception {
+        FakeHost host = script(peer -> {
+            peer.write(FakeHost.served(read(peer)));
+            read(peer);
+            peer.write("SERVER_ERROR busy\r\n");
+        }, CrossingsTest::serveAll);
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            client.write(fragile("1", 9_000));
+            assertEquals("HD O1 c77", client.line());
+            client.write(fragile("2", 9_000));
+            assertEquals("HD O2 c77", client.line(), "sent on a connection without a past");
+        }
+    }
+
+    @Test
+    void theBeginningOfASecondAnswerEndsTheConnection() throws Exception {
+        FakeHost host = script(peer -> {
+            peer.write(FakeHost.served(read(peer)) + "VA 5 ");
+            serveAll(peer);
+        }, CrossingsTest::serveAll);
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            assertEquals("HD O3 c77", client.ask(Rig.PUT.replace(" 5 ", " 1 ").replace("hello", "h")));
+            assertEquals("VA 16 O1", client.ask(Rig.READ));
+            client.data(16);
+            assertEquals(2, host.connections.get());
+        }
+    }
+
+    @Test
+    void theLateBeginningOfASecondAnswerEndsTheIdleConnection() throws Exception {
+        CountDownLatch idle = new CountDownLatch(1);
+        FakeHost host = script(peer -> {
+            peer.write(FakeHost.served(read(peer)));
+            try {
+                idle.await();
+            } catch (InterruptedException e) {
+                return;
+            }
+            peer.write("VA 5 ");
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            assertEquals("VA 16 O1", client.ask(Rig.READ));
+            ServingTest.awaitGauge(rig, " idle 1");
+            idle.countDown();
+            ServingTest.awaitGauge(rig, " links 0 ");
+        }
+    }
+
+    // The list, while connections come up or stand idle.
+
+    @Test
+    void aConnectionToAnAddressThatIsNoLongerTheHostsCarriesNothing() throws Exception {
+        try (ConnectingTest.FullHost old = new ConnectingTest.FullHost(); FakeHost moved = FakeHost.serving();
+                Rig rig = new Rig()) {
+            rig.extraTargets.add(old.target());
+            rig.connectMs = Peer.LIMIT_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(fragile("1", 15_000));
+                ServingTest.awaitGauge(rig, " links 1 ");
+                list(rig, Rig.target("s-full", moved.endpoint(), "Ready"));
+                try (Peer peer = old.accept()) {
+                    assertNull(peer.line(), "closed without a command");
+                }
+                assertEquals("SERVER_ERROR busy", client.line());
+                client.write(fragile("2", 9_000));
+                assertEquals("HD O2 c77", client.line());
+            }
+        }
+    }
+
+    /** The process that held the other end is gone: a write on it would end as a reset. */
+    @Test
+    void idleConnectionsToAHostThatStartedAnewAreClosed() throws Exception {
+        FakeHost host = FakeHost.serving();
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            assertEquals("HD O3 c77", client.ask(Rig.PUT));
+            ServingTest.awaitGauge(rig, " idle 1");
+            list(rig, Rig.target("s-0", host.endpoint(), "Ready").replace("\"boot_ms\":0", "\"boot_ms\":5"));
+            assertEquals("end", host.awaitEnd());
+        }
+    }
+}
--- a/src/test/java/eiderscale/net/ServingTest.java
+++ b/src/test/java/eiderscale/net/ServingTest.java
@@ -44,7 +44,7 @@
     void keptConnectionsAreUsedAgain() throws Exception {
         try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client()) {
             for (int i = 0; i < 5; i++) {
-                assertEquals("HD O2 c77", client.ask(Rig.COPY));
+                assertEquals("HD O3 c77", client.ask(Rig.PUT));
             }
             assertEquals(1, rig.hosts.get(0).connections.get());
         }
