Write nothing for a request that is over, where the site forbids cancelling too

Confirmed by tests over sockets: with "cancelling" false the module cancels nothing, and an attempt whose connection was still coming up was written when it came up, after its client had left or its other attempt had been answered. Ruled out: turns, repeats and copies that are only planned (FurtherRulesTest). What the settings forbid is to give up an attempt that may be at work; one that is not written whole is none yet. At fault: Balancer.clientGone and the final answers, which left unsent attempts to the module.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -99,6 +99,7 @@
             counters.clientsGone++;
             counters.goneEarly += inSecondHalf(exchange) ? 0 : 1;
             open--;
+            withdrawUnsent(exchange);
             post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
         }
     }
@@ -200,6 +201,18 @@
         }
     }
 
+    /**
+     * Nothing more goes out for a request that is over. That is no cancelling, which a site may forbid: what
+     * was not written whole is no attempt yet, such as one whose connection is still coming up.
+     */
+    private void withdrawUnsent(Exchange exchange) {
+        for (Attempt attempt : List.copyOf(exchange.attempts)) {
+            if (!attempt.written()) {
+                drop(attempt, Reason.MOOT);
+            }
+        }
+    }
+
     private void drop(Attempt attempt, Reason reason) {
         if (!attempt.over) {
             pool.abandon(attempt);
@@ -225,6 +238,7 @@
                 counters.served(answer.flag(1, 'h'), Clock.now() - attempt.sentAt);
                 open--;
                 exchange.answer(answerLine(exchange.command, answer), answer.data());
+                withdrawUnsent(exchange);
             }
             float[] report = site.report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
@@ -246,6 +260,7 @@
                 null);
         counters.refused++;
         open -= exchanges.containsKey(exchange.id) ? 1 : 0;
+        withdrawUnsent(exchange);
     }
 
     private void answerFailed(Exchange exchange) {
@@ -253,6 +268,7 @@
         exchange.answer("SERVER_ERROR failed\r\n", null);
         counters.failed++;
         open--;
+        withdrawUnsent(exchange);
     }
 
     private void countHeldBack(Exchange exchange) {
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -186,4 +186,72 @@
             assertEquals("end", host.awaitEnd());
         }
     }
+
+    // Requests that are over before they were written.
+
+    @Test
+    void aRequestWhoseClientLeftIsNotWrittenWhereCancellingIsForbidden() throws Exception {
+        try (ConnectingTest.FullHost host = new ConnectingTest.FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.connectMs = LONG_MS;
+            rig.cancelling = false;
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer leaver = rig.client()) {
+                leaver.write(fragile("left", LONG_MS));
+                ServingTest.awaitGauge(rig, " links 1 ");
+            }
+            ServingTest.awaitGauge(rig, "open 0 ledger 0 ");
+            try (Peer peer = host.accept(); Peer client = rig.client()) {
+                ServingTest.awaitGauge(rig, " idle 1");
+                client.write(fragile("stays", 9_000));
+                assertTrue(peer.line().contains(" Ostays "), "the first command on the connection");
+            }
+        }
+    }
+
+    @Test
+    void aCopyIsNotWrittenAfterTheAnswerWhereCancellingIsForbidden() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        FakeHost slow = FakeHost.answering(command -> {
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                return null;
+            }
+            return FakeHost.served(command);
+        });
+        try (ConnectingTest.FullHost full = new ConnectingTest.FullHost(); Rig rig = new Rig(slow)) {
+            rig.extraTargets.add(full.target());
+            rig.connectMs = LONG_MS;
+            rig.cancelling = false;
+            rig.deadlineMs = LONG_MS;
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                private List<Api.Server> all = List.of();
+
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    all = servers.isEmpty() ? all : servers;
+                }
+
+                @Override
+                public void onRequest(long now, Api.Request request) {
+                    all.forEach(server -> actions.send(request.id(), server.id(), 0));
+                }
+            };
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(Rig.READ.replace("d=5000", "d=" + LONG_MS) + "\r\n");
+                ServingTest.awaitGauge(rig, " links 2 ");
+                release.countDown();
+                assertEquals("VA 16 O1", client.line());
+                ServingTest.awaitGauge(rig, "open 0 ledger 0 ");
+                try (Peer peer = full.accept()) {
+                    ServingTest.awaitGauge(rig, " idle 2");
+                    client.write("mg 2 v Onext Pc=read,t=acme,d=9000\r\n");
+                    assertTrue(peer.line().contains(" Onext "), "the first command on the connection");
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -28,7 +28,7 @@
                "deadline-ns":%1$d000000,"late-worth":0.5,"window-ns":5000000000}],
              "tenants":[{"name":"acme","allowance-per-s":%6$d,"fraction":1.0}],
              "zones":["a","b"],"kinds":["m1"],"my-zone":0,"n-instances":1,"rank":0,
-             "ceilings":{"cancelling":true,"conn-idle-ns":%2$d000000,"connect-timeout-ns":%3$d000000,
+             "ceilings":{"cancelling":%8$b,"conn-idle-ns":%2$d000000,"connect-timeout-ns":%3$d000000,
                "max-attempts":4,"max-open":%4$d,"max-retry-after-ns":2000000000,"may-duplicate":true,
                "multiplex":1,"retry-after":true},
              "discovery":"%7$s","load-report":{"fields":["busy"],"source":"answers"},
@@ -49,6 +49,7 @@
     int allowance = 100_000;
     /** How lists come: "subscribe" where they are asked for, "automatic" where they are pushed. */
     String listed = "subscribe";
+    boolean cancelling = true;
     String discovery = "127.0.0.1:1";
     Balancer.Module module = Router::new;
     Node node;
@@ -67,7 +68,7 @@
 
     String settings() {
         return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
-                graceMs * Clock.MILLISECOND, allowance, listed);
+                graceMs * Clock.MILLISECOND, allowance, listed, cancelling);
     }
 
     String config(String listen) {
