Half-close clients' connections behind the last answer, and answer all that was read

Suspects from reading, each confirmed by a test that fails on the old code: - Commands behind the one that ended a connection (a refusal for want of room) were dropped unanswered. - The close with bytes left unread was a reset, which cut off a 64 KiB answer on its way to a slow client. - With 64 requests open reading stopped, the client's end went unseen and its requests were sent on. - A stop waited up to 0.6 s past the longest deadline, while SIGKILL may come at 3.7 s, and ended without settling what was open; a client with another request always open was read and served all that while. A connection that is to end now answers all it has read, refusing requests, half-closes when nothing is open and reads on to the client's end for a second at most. Past 64 open requests commands are held back undecoded (32 KiB) so that the end behind them is seen. At fault: ClientServer.adjust (quitting, setAutoRead(false) and CLOSE), Node.await. Netty's FlowControlHandler is gone with this: it holds frames back only by stopping to read.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -104,6 +104,13 @@
         }
     }
 
+    /** Answers all that is open by the rules: the program ends. */
+    void settleAll() {
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            settle(exchange);
+        }
+    }
+
     @Override
     public void onList(Api.ListMode mode, List<Catalog.Member> members) {
         pool.update(mode, members);
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -13,12 +13,11 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
@@ -27,7 +26,7 @@
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
 final class ClientServer {
-    /** Requests of one connection that may be open at once; reading stops there. */
+    /** Requests of one connection that may be open at once; what follows is held back undecoded. */
     private static final int MOST_PIPELINED = 64;
     /** Bytes of answers, over all connections, that clients may leave unread. */
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
@@ -37,6 +36,8 @@
     private static final long LEAST_IDLE = 2 * Clock.SECOND;
     /** A peer that has sent nothing whole by then is closed; it is owed that within 3 s. */
     private static final long FIRST_MS = 2_500;
+    /** A connection that we ended is closed by then, should its client not close it. */
+    private static final long LINGER_MS = 1_000;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Balancer balancer;
@@ -47,6 +48,8 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections with nothing to do, the one that has been so for longest first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Connections that we ended and whose clients have not closed them yet, the oldest first. */
+    private final Set<Connection> lingering = new LinkedHashSet<>();
     private Channel server;
     private long unread;
     private boolean closing;
@@ -72,27 +75,37 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(MetaDecoder.ofCommands(), new FlowControlHandler(),
-                                new Connection(fresh));
+                        Connection connection = new Connection((SocketChannel) fresh);
+                        fresh.pipeline().addLast(connection.decoder, connection);
                     }
                 }).bind(address);
         server = bound.channel();
         return bound;
     }
 
-    /** Takes no more connections, and closes those there are as they fall idle. */
+    /** Takes no more connections, and ends those there are as soon as they are owed nothing. */
     void close() {
         closing = true;
         server.close();
         for (Connection connection : List.copyOf(connections)) {
+            connection.state = State.ENDING;
             connection.adjust();
         }
     }
 
+    /** Connections that are not closed. */
     int clients() {
-        return connections.size();
+        return connections.size() + lingering.size();
     }
 
+    /**
+     * A connection's states. {@code SURPLUS}: there was no room for it, all it gets is a refusal.
+     * {@code ENDING}: it takes no request any more but answers each, and ends when none is open.
+     * {@code LINGERING}: its last answer and our end of the stream are out. It is not closed yet: with bytes
+     * left unread that would be a reset, which can destroy the answer on its way.
+     */
+    private enum State { OPEN, SURPLUS, ENDING, LINGERING, GONE }
+
     /** The place of one command in the order of answers. */
     private final class Slot implements Exchange.Client {
         private final Connection connection;
@@ -106,7 +119,7 @@
 
         @Override
         public void answer(String line, byte[] data) {
-            if (!connection.gone) {
+            if (connection.state != State.GONE) {
                 answer = Command.line(connection.channel.alloc(), line, data);
                 answeredAt = Clock.now();
                 unread += answer.readableBytes();
@@ -116,32 +129,34 @@
     }
 
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
-        private final Channel channel;
+        private final SocketChannel channel;
+        final MetaDecoder decoder = MetaDecoder.ofCommands();
         private final Queue<Slot> slots = new ArrayDeque<>();
-        /** There was no room for it: all it gets is a refusal. */
-        private boolean surplus;
-        private boolean quitting;
-        private boolean gone;
+        private State state = State.OPEN;
+        /** Commands that came in one read are all taken before anything is ended. */
         private boolean reading;
+        private boolean resuming;
         private boolean heard;
         private Future<?> silence;
         private long idleSince;
         private int unsent;
 
-        Connection(Channel channel) {
+        Connection(SocketChannel channel) {
             this.channel = channel;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             if (connections.size() >= mostClients + mostSurplus) {
-                gone = true;
+                state = State.GONE;
                 counters.turnedAway++;
                 ctx.close();
                 return;
             }
-            if (connections.size() >= mostClients && !evict()) {
-                surplus = true;
+            if (closing) {
+                state = State.ENDING;
+            } else if (connections.size() >= mostClients && !evict()) {
+                state = State.SURPLUS;
             }
             connections.add(this);
             goIdle();
@@ -161,17 +176,16 @@
 
         private boolean evict() {
             long latest = Clock.now() - LEAST_IDLE;
-            for (Iterator<Connection> longest = idle.iterator(); longest.hasNext(); ) {
-                Connection evicted = longest.next();
-                if (evicted.idleSince > latest) {
+            for (Connection longest : idle) {
+                if (longest.idleSince > latest) {
                     return false;
                 }
-                if (evicted.unsent == 0) {
-                    // Counted out now, as the channel reports its end only later: a burst would evict but one.
-                    longest.remove();
-                    connections.remove(evicted);
+                if (longest.unsent == 0) {
                     counters.evicted++;
-                    evicted.channel.close();
+                    longest.end();
+                    if (lingering.size() > mostSurplus) {
+                        lingering.iterator().next().close();
+                    }
                     return true;
                 }
             }
@@ -180,11 +194,8 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
-            if (quitting) {
-                return;
-            }
-            idle.remove(this);
             reading = true;
+            idle.remove(this);
             heard = true;
             Slot slot = new Slot(this);
             slots.add(slot);
@@ -194,6 +205,13 @@
             } else {
                 take(slot, frame);
             }
+            if (slots.size() >= MOST_PIPELINED) {
+                decoder.hold();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
             reading = false;
             flushReady();
         }
@@ -203,8 +221,10 @@
                 case "mg", "ms" -> request(slot, frame);
                 case "mn" -> slot.answer("MN\r\n", null);
                 case "quit" -> {
+                    // What its client sent behind that is not looked at.
                     slots.remove(slot);
-                    quitting = true;
+                    state = State.ENDING;
+                    decoder.drop();
                 }
                 default -> {
                     counters.malformed++;
@@ -214,9 +234,9 @@
         }
 
         private void request(Slot slot, MetaFrame frame) {
-            if (surplus) {
+            if (state != State.OPEN) {
                 counters.localRefusals++;
-                quitting = true;
+                state = State.ENDING;
                 slot.answer("SERVER_ERROR busy\r\n", null);
                 return;
             }
@@ -231,7 +251,7 @@
 
         /** Writes the answers that no earlier command has to come before. */
         void flushReady() {
-            if (reading || gone) {
+            if (reading || state == State.GONE) {
                 return;
             }
             boolean wrote = false;
@@ -253,13 +273,13 @@
             adjust();
         }
 
-        /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
+        /** Reads on, holds back what comes, or ends, as its open requests and its client's reading allow. */
         void adjust() {
-            if (slots.isEmpty() && (closing || quitting)) {
-                // Behind what is still being written: a close at once would cut a long answer short.
-                quitting = true;
-                channel.config().setAutoRead(false);
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            if (reading || state == State.LINGERING || state == State.GONE) {
+                return;
+            }
+            if (slots.isEmpty() && state == State.ENDING && !resuming) {
+                end();
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
                 // A client that does not read its answers must not take the memory of the others.
                 channel.close();
@@ -267,8 +287,44 @@
                 if (slots.isEmpty()) {
                     goIdle();
                 }
-                channel.config().setAutoRead(slots.size() < MOST_PIPELINED && channel.isWritable());
+                if (!channel.isWritable()) {
+                    decoder.hold();
+                } else if (slots.size() < MOST_PIPELINED && decoder.holds() && !resuming) {
+                    resuming = true;
+                    loop.execute(this::resume);
+                }
+                channel.config().setAutoRead(!decoder.full());
+            }
+        }
+
+        private void resume() {
+            resuming = false;
+            ChannelHandlerContext context = channel.pipeline().context(decoder);
+            if (context == null) {
+                return; // Closed meanwhile.
+            }
+            try {
+                decoder.release(context);
+            } catch (Exception e) {
+                exceptionCaught(context, e);
             }
+            channelReadComplete(context);
+        }
+
+        /** Half-closes behind what is still being written, and reads on to the client's end. */
+        private void end() {
+            state = State.LINGERING;
+            connections.remove(this);
+            idle.remove(this);
+            lingering.add(this);
+            decoder.drop();
+            channel.config().setAutoRead(true);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> channel.shutdownOutput());
+            loop.schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void close() {
+            channel.close();
         }
 
         @Override
@@ -278,11 +334,12 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            gone = true;
+            state = State.GONE;
             if (silence != null) {
                 silence.cancel(false);
             }
             connections.remove(this);
+            lingering.remove(this);
             idle.remove(this);
             for (Slot slot : slots) {
                 if (slot.answer != null) {
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,8 @@
 final class MetaDecoder extends ByteToMessageDecoder {
     /** Far above the longest honest line: a key of 250 bytes, an id and a list of figures. */
     static final int MOST_LINE = 2048;
+    /** Bytes held back before reading stops, and with it the sight of the sender's end. */
+    private static final int MOST_HELD = 32 * 1024;
     private static final int MOST_DIGITS = 9;
     private static final int CRLF = 2;
     private static final String BAD_CHUNK = "CLIENT_ERROR bad data chunk";
@@ -26,6 +29,7 @@
     /** Bytes of an overlong value still to be passed over, and whether the rest of a line is. */
     private long skip;
     private boolean skipLine;
+    private Mode mode = Mode.DECODE;
 
     private MetaDecoder(String dataWord, int lengthAt) {
         this.dataWord = dataWord;
@@ -42,6 +46,33 @@
         return new MetaDecoder("VA", 1);
     }
 
+    private enum Mode { DECODE, HOLD, DROP }
+
+    /** Holds back what comes in from now on, so that its sender's end is still seen behind it. */
+    void hold() {
+        mode = mode == Mode.DECODE ? Mode.HOLD : mode;
+    }
+
+    boolean holds() {
+        return mode == Mode.HOLD;
+    }
+
+    /** Goes on with what was held back, within this call. */
+    void release(ChannelHandlerContext ctx) throws Exception {
+        mode = mode == Mode.HOLD ? Mode.DECODE : mode;
+        channelRead(ctx, Unpooled.EMPTY_BUFFER);
+    }
+
+    /** Passes over all that comes from now on. */
+    void drop() {
+        mode = Mode.DROP;
+    }
+
+    /** Whether so much is held back that reading has to stop. */
+    boolean full() {
+        return mode == Mode.HOLD && actualReadableBytes() > MOST_HELD;
+    }
+
     /** Whether the stream stands inside a frame: what comes next is not the start of one. */
     boolean insideFrame() {
         return data != null || skip > 0 || skipLine || actualReadableBytes() > 0;
@@ -49,6 +80,16 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (mode == Mode.DROP) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        if (mode == Mode.HOLD) {
+            if (full()) {
+                ctx.channel().config().setAutoRead(false);
+            }
+            return;
+        }
         if (skip > 0) {
             int passed = (int) Math.min(skip, in.readableBytes());
             in.skipBytes(passed);
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -12,6 +12,10 @@
 final class Node {
     /** After a stop is asked for, clients go on coming for a while; they are served. */
     private static final long ACCEPT_ON_MS = 600;
+    /** The longest deadline that a stop waits for: the program is killed soon after that. */
+    private static final long LONGEST = 3 * Clock.SECOND;
+    /** For the last answers to leave, once what is still open has been settled. */
+    private static final long LAST_WAY = 70 * Clock.MILLISECOND;
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 1_000;
     private static final int SWEEPS_PER_PRINT = 10;
@@ -73,21 +77,25 @@
         Promise<Void> done = loop.newPromise();
         long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
                 .orElse(0);
-        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + longest;
+        long settleAt = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + Math.min(longest, LONGEST);
         loop.schedule(() -> {
             server.close();
-            await(done, end);
+            await(done, settleAt);
         }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         return done;
     }
 
-    private void await(Promise<Void> done, long end) {
-        // By the end every deadline has passed: only a client that does not read can still be there.
-        if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
+    private void await(Promise<Void> done, long settleAt) {
+        long now = Clock.now();
+        if (now >= settleAt) {
+            balancer.settleAll();
+        }
+        // Past that only a client that does not read can still be there.
+        if (server.clients() == 0 && balancer.open() == 0 || now >= settleAt + LAST_WAY) {
             print();
             done.setSuccess(null);
         } else {
-            loop.schedule(() -> await(done, end), LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> await(done, settleAt), LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -28,6 +28,134 @@
         rig.loop.submit(() -> rig.node.onList(Api.ListMode.DELTA, catalog.members())).get();
     }
 
+    // The end of a client's connection.
+
+    /** The first refusal ended a surplus connection, and the command behind it was dropped unanswered. */
+    @Test
+    void twoCommandsInOneSegmentAreBothAnsweredWhereThereIsNoRoom() throws Exception {
+        List<Peer> peers = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
+            rig.sockets = 64;
+            rig.start();
+            for (int i = 0; i < 21; i++) {
+                peers.add(rig.client());
+            }
+            ServingTest.awaitGauge(rig, "clients 21 ");
+            try (Peer surplus = rig.client()) {
+                surplus.write(fragile("1", 9_000) + fragile("2", 9_000));
+                assertEquals("SERVER_ERROR busy", surplus.line());
+                assertEquals("SERVER_ERROR busy", surplus.line());
+                assertNull(surplus.line());
+            }
+        } finally {
+            for (Peer peer : peers) {
+                peer.close();
+            }
+        }
+    }
+
+    /** A close with bytes left unread is a reset, which destroyed what was still on its way to the client. */
+    @Test
+    void bytesThatCrossOurEndDoNotDestroyTheAnswerOnItsWay() throws Exception {
+        String value = "v".repeat(MetaFrame.MOST_VALUE);
+        try (Rig rig = new Rig(FakeHost.answering(c -> FakeHost.value(c, value))).start();
+                Peer client = rig.slowClient()) {
+            client.write(Rig.READ + "\r\nquit\r\n");
+            rig.hosts.get(0).command();
+            ServingTest.awaitGauge(rig, "open 0 ");
+            for (int i = 0; i < 20; i++) {
+                client.write("mg crossing\r\n");
+            }
+            assertEquals("VA 65536 O1", client.line());
+            assertEquals(value, client.data(value.length()));
+            assertNull(client.line());
+        }
+    }
+
+    /** With 64 requests open nothing was read any more, and so the client's end went unseen. */
+    @Test
+    void aClientsEndIsSeenBehindMoreRequestsThanMayBeOpen() throws Exception {
+        try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                StringBuilder commands = new StringBuilder();
+                for (int i = 0; i < 100; i++) {
+                    commands.append(fragile(Integer.toString(i), LONG_MS));
+                }
+                client.write(commands.toString());
+                ServingTest.awaitGauge(rig, "open 64 ");
+            }
+            ServingTest.awaitGauge(rig, "open 0 ");
+            ServingTest.awaitGauge(rig, "clients 0 ");
+            assertTrue(rig.hosts.get(0).commands.size() <= 64, "what was held back is not sent");
+        }
+    }
+
+    @Test
+    void whatWasHeldBackIsAnsweredWhenThereIsRoom() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        FakeHost host = FakeHost.answering(command -> {
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                return null;
+            }
+            return FakeHost.served(command);
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                commands.append(fragile(Integer.toString(i), 9_000));
+            }
+            client.write(commands.append("quit\r\n").toString());
+            ServingTest.awaitGauge(rig, "open 64 ");
+            release.countDown();
+            for (int i = 0; i < 100; i++) {
+                assertEquals("HD O" + i + " c77", client.line());
+            }
+            assertNull(client.line());
+        }
+    }
+
+    // A stop.
+
+    /** SIGKILL comes soon after the longest deadline, counted as 3 s where it is longer. */
+    @Test
+    void aStopSettlesWhatIsOpenAndTakesNothingNewMeanwhile() throws Exception {
+        try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(fragile("1", LONG_MS));
+                rig.hosts.get(0).command();
+                Future<?> stopped = rig.loop.submit(rig.node::stop).get();
+                awaitRefusal(rig);
+                client.write(fragile("2", LONG_MS) + fragile("3", LONG_MS));
+                assertEquals("SERVER_ERROR failed", client.line(), "it may have run");
+                assertEquals("SERVER_ERROR busy", client.line());
+                assertEquals("SERVER_ERROR busy", client.line());
+                assertNull(client.line());
+                client.leave();
+                assertTrue(stopped.await(Peer.LIMIT_MS));
+                assertEquals(0, rig.hosts.get(0).commands.size(), "nothing else was sent");
+            }
+        }
+    }
+
+    private static void awaitRefusal(Rig rig) throws InterruptedException {
+        long end = System.nanoTime() + Peer.LIMIT_MS * 1_000_000L;
+        while (System.nanoTime() < end) {
+            try {
+                rig.client().close();
+                Thread.sleep(2);
+            } catch (IOException e) {
+                return;
+            }
+        }
+        throw new AssertionError("it goes on listening");
+    }
+
     // More answers than were asked for.
 
     private static FakeHost script(FakeHost.Script... scripts) throws IOException {
