Say in one line that a configuration is no object, and keep the old one on SIGHUP

"null" parses as no map, which was a NullPointerException: caught at a start, but on SIGHUP only ConfigException was, and the log said nothing of a configuration that stays.

--- a/src/main/java/eiderscale/net/Json.java
+++ b/src/main/java/eiderscale/net/Json.java
@@ -13,7 +13,11 @@
 
     static Map<?, ?> parse(byte[] text) {
         try {
-            return JSON.std.mapFrom(new String(text, StandardCharsets.UTF_8));
+            Map<?, ?> object = JSON.std.mapFrom(new String(text, StandardCharsets.UTF_8));
+            if (object != null) {
+                return object;
+            }
+            throw new ConfigException("no JSON object: null");
         } catch (IOException e) {
             String reason = String.valueOf(e.getMessage());
             throw new ConfigException("no JSON object: " + reason.lines().findFirst().orElse(""));
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -38,7 +38,7 @@
         try {
             Config replaced = Config.read(System.getenv("GW_CONFIG"));
             loop.execute(() -> node.reload(replaced));
-        } catch (ConfigException e) {
+        } catch (RuntimeException e) {
             Counters.log("the configuration stays as it was: " + e.getMessage());
         }
     }
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -382,4 +382,11 @@
             }
         }
     }
+
+    @Test
+    void aConfigurationThatIsNoObjectIsToldInOneLine() {
+        for (String text : List.of("null", "[]", "3", "")) {
+            assertThrows(ConfigException.class, () -> Json.parse(text.getBytes()), text);
+        }
+    }
 }
