Answer what is held back behind open requests before a connection ends

Seen in the line-by-line reading of the new end of a connection: all 64 open requests can end at once, when the first in line does, and a stop then ended the connection over the commands that were held back. The wait for the client's end began before our own end was out, which cut off a slow reader's answer. At fault: ClientServer.adjust, which asked for open requests only, and Connection.end. aStopAnswersWhatWasHeldBackBehindOpenRequests fails without the change.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -278,7 +278,7 @@
             if (reading || state == State.LINGERING || state == State.GONE) {
                 return;
             }
-            if (slots.isEmpty() && state == State.ENDING && !resuming) {
+            if (slots.isEmpty() && state == State.ENDING && !decoder.holds() && !resuming) {
                 end();
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
                 // A client that does not read its answers must not take the memory of the others.
@@ -319,8 +319,10 @@
             lingering.add(this);
             decoder.drop();
             channel.config().setAutoRead(true);
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> channel.shutdownOutput());
-            loop.schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
+                channel.shutdownOutput();
+                loop.schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+            });
         }
 
         private void close() {
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -39,8 +39,8 @@
             rig.start();
             for (int i = 0; i < 21; i++) {
                 peers.add(rig.client());
+                assertEquals("MN", peers.get(i).ask("mn"));
             }
-            ServingTest.awaitGauge(rig, "clients 21 ");
             try (Peer surplus = rig.client()) {
                 surplus.write(fragile("1", 9_000) + fragile("2", 9_000));
                 assertEquals("SERVER_ERROR busy", surplus.line());
@@ -143,6 +143,44 @@
         }
     }
 
+    /** All 64 open requests can end at once, when the first in line does, with more commands held back. */
+    @Test
+    void aStopAnswersWhatWasHeldBackBehindOpenRequests() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        FakeHost host = FakeHost.answering(command -> {
+            if (command.contains(" O0 ")) {
+                try {
+                    release.await();
+                } catch (InterruptedException e) {
+                    return null;
+                }
+            }
+            return FakeHost.served(command);
+        });
+        try (Rig rig = new Rig(host)) {
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                StringBuilder commands = new StringBuilder();
+                for (int i = 0; i < 100; i++) {
+                    commands.append(fragile(Integer.toString(i), LONG_MS));
+                }
+                client.write(commands.toString());
+                ServingTest.awaitGauge(rig, "open 1 ");
+                rig.loop.submit(rig.node::stop).get();
+                awaitRefusal(rig);
+                release.countDown();
+                for (int i = 0; i < 64; i++) {
+                    assertEquals("HD O" + i + " c77", client.line());
+                }
+                for (int i = 64; i < 100; i++) {
+                    assertEquals("SERVER_ERROR busy", client.line());
+                }
+                assertNull(client.line());
+            }
+        }
+    }
+
     private static void awaitRefusal(Rig rig) throws InterruptedException {
         long end = System.nanoTime() + Peer.LIMIT_MS * 1_000_000L;
         while (System.nanoTime() < end) {
