Leave a repeat of a keyed write time for its connection within the window

At fault: the window was taken as the settings say it; it is now what a connection leaves of it, for both sides. aWindowLeavesARepeatTimeForItsConnection fails on the old code.

--- a/src/main/java/eiderscale/sim/SettingsParser.java
+++ b/src/main/java/eiderscale/sim/SettingsParser.java
@@ -79,9 +79,11 @@
             case "zone" -> Api.Group.ZONE;
             default -> Api.Group.CELL;
         };
+        // A repeat counts when it reaches its host, which a connection may have to come up for first.
+        long window = Math.max(0, whole(at + "window-ns", 0) - whole("ceilings.connect-timeout-ns", 0));
         return new Api.RequestClass(Math.max(1, whole(at + "goal-time-ns", deadline)),
                 real(at + "aim-stretch", 0), deadline, real(at + "worth", 1), real(at + "late-worth", 0),
-                effect, group, whole(at + "window-ns", 0), flag(at + "stream"), flag(at + "serial-by-key"));
+                effect, group, window, flag(at + "stream"), flag(at + "serial-by-key"));
     }
 
     /** There is a budget as soon as one of its settings is named; what is left out of it allows nothing. */
--- a/src/test/java/eiderscale/sim/AdapterTest.java
+++ b/src/test/java/eiderscale/sim/AdapterTest.java
@@ -175,6 +175,15 @@
         assertTrue(SettingsParser.parse("guarantees.key-quiet-ns=\n").keyQuiet() > 0, "a key rests");
     }
 
+    /** Sent just inside the window, a repeat whose connection came up late reached its host past it. */
+    @Test
+    void aWindowLeavesARepeatTimeForItsConnection() {
+        String text = "categories.count=2\ncategories.0.window-ns=1500000000\ncategories.1.window-ns=100\n"
+                + "ceilings.connect-timeout-ns=200000000\n";
+        assertEquals(1_300_000_000L, SettingsParser.parse(text).classes().get(0).window());
+        assertEquals(0, SettingsParser.parse(text).classes().get(1).window());
+    }
+
     @Test
     void unknownConditionsAndOutcomesAreErrors() {
         byte[] start = session();
