Let peers that sent no request make room for new connections at once

Log of one balancer: all places held, new ones turned away, while the places of 54,720 connections that asked once and of 49,860 that never sent a whole request turn over after 2 s and 2.5 s only. At fault: ClientServer.evict, which spared every connection idle for less than 2 s. A peer whose only word was answered with an error has had what it is owed, and a client has nothing to wait for on a new connection: such go at once, and after half a second. Not the whole cause: in a burst more come within half a second than there are places.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -34,6 +34,8 @@
     private static final int ACCEPTS_AT_ONCE = 256;
     /** A connection idle for less may have a request on its way, which a close would lose. */
     private static final long LEAST_IDLE = 2 * Clock.SECOND;
+    /** The same for a new one, whose client has nothing to wait for: past that it is a peer that says nothing. */
+    private static final long LEAST_NEW = 500 * Clock.MILLISECOND;
     /** A peer that has sent nothing whole by then is closed; it is owed that within 3 s. */
     private static final long FIRST_MS = 2_500;
     /** A connection that we ended is closed by then, should its client not close it. */
@@ -137,6 +139,8 @@
         private boolean reading;
         private boolean resuming;
         private boolean heard;
+        /** Among what was heard was a request, or the question whether we are ready. */
+        private boolean proper;
         private Future<?> silence;
         private long idleSince;
         private int unsent;
@@ -175,12 +179,9 @@
         }
 
         private boolean evict() {
-            long latest = Clock.now() - LEAST_IDLE;
+            long now = Clock.now();
             for (Connection longest : idle) {
-                if (longest.idleSince > latest) {
-                    return false;
-                }
-                if (longest.unsent == 0) {
+                if (longest.unsent == 0 && now - longest.idleSince >= longest.leastIdle()) {
                     counters.evicted++;
                     longest.end();
                     if (lingering.size() > mostSurplus) {
@@ -192,6 +193,11 @@
             return false;
         }
 
+        /** A peer that sent nothing proper has had all that it is owed once its error is out. */
+        private long leastIdle() {
+            return proper ? LEAST_IDLE : heard ? 0 : LEAST_NEW;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
             reading = true;
@@ -219,7 +225,10 @@
         private void take(Slot slot, MetaFrame frame) {
             switch (frame.words().get(0)) {
                 case "mg", "ms" -> request(slot, frame);
-                case "mn" -> slot.answer("MN\r\n", null);
+                case "mn" -> {
+                    proper = true;
+                    slot.answer("MN\r\n", null);
+                }
                 case "quit" -> {
                     // What its client sent behind that is not looked at.
                     slots.remove(slot);
@@ -235,6 +244,7 @@
 
         private void request(Slot slot, MetaFrame frame) {
             if (state != State.OPEN) {
+                proper = true;
                 counters.localRefusals++;
                 state = State.ENDING;
                 slot.answer("SERVER_ERROR busy\r\n", null);
@@ -242,6 +252,7 @@
             }
             try {
                 Command command = new Command(frame, balancer.site());
+                proper = true;
                 slot.exchange = balancer.take(command, slot);
             } catch (Command.Malformed e) {
                 counters.malformed++;
--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -37,6 +37,30 @@
         }
     }
 
+    /** A crowd of peers that sent no request held all places, and clients' new connections were closed. */
+    @Test
+    void peersThatSentNoRequestMakeRoomAtOnce() throws Exception {
+        List<Peer> peers = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.sockets = SOCKETS;
+            rig.start();
+            for (int i = 0; i < CLIENTS; i++) {
+                peers.add(rig.client());
+                assertEquals("ERROR", peers.get(i).ask("nonsense"));
+            }
+            for (int i = 0; i < CLIENTS; i++) {
+                peers.add(rig.client());
+                assertEquals("HD O2 c77", peers.get(CLIENTS + i).ask(Rig.COPY));
+            }
+            assertEquals(null, peers.get(0).line(), "closed behind its error");
+            assertEquals("HD O2 c77", peers.get(CLIENTS).ask(Rig.COPY), "a client's is kept");
+        } finally {
+            for (Peer peer : peers) {
+                peer.close();
+            }
+        }
+    }
+
     /** New clients ask, one after the other, until there is room for one; the others are refused. */
     private static void askUntilServed(Rig rig) throws Exception {
         String answer = "";
