Call discovery again within two seconds of a failure, each instance at its moment of the round

Cause: Router.askLater waited for up to half of the ask-within time in rank order, times up to four: up to twice that time. A change counts as told 6 s after discovery had it and could be reached, whatever was allowed before. Instances of low rank also waited for next to nothing and called without a pause while discovery was down.

Change: after a failure each instance has one fixed moment in every round of 2 s (or half of the ask-within time, if that is shorter): a third of the 6 s, the others being a wait in line at discovery that ends with a refusal, and the call after it. All read one clock, so instances stay out of step however often their calls fail.

Test: failedCallsComeAgainWithinTwoSecondsAndOutOfStep, 100 instances on one clock; fails on the old code.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -13,8 +13,13 @@
     private static final int TIMER_LIST = 2;
     /** First subscriptions come at most so far apart: a list from before a restart grows old. */
     private static final long SUBSCRIBE_APART_NS = 200_000_000L;
-    /** Part of the ask-within time over which subscriptions are spread, and of each back-off step. */
+    /** Part of the ask-within time over which subscriptions are spread. */
     private static final double SUBSCRIBE_SPREAD = 0.5;
+    /**
+     * After a failed call a change counts as told 6 s after discovery could be reached. That holds the wait for the
+     * next call, a wait in line there that ends with a refusal, and the call after it: a third each.
+     */
+    private static final double ASK_AGAIN_NS = 6e9 / 3;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
     /** Safety taken off the window within which servers drop repeats. */
@@ -95,7 +100,9 @@
     private boolean turning;
     private final int mostAttempts;
     private long timer;
-    private int listFailures;
+    private boolean listFailed;
+    /** Our place among all instances, in [0, 1): its rank's part of the round, and chance within that. */
+    private final double place;
 
     /** Starts an instance; its first list follows as an event. */
     public Router(Settings settings, long seed, Actions actions) {
@@ -107,24 +114,32 @@
         this.hedging = new Hedging(settings.budget());
         this.order = new KeyOrder<>(settings.keyQuiet());
         this.mostAttempts = Math.max(1, Math.min(UP_TO, settings.maxAttempts()));
+        double chance = (Candidates.mix(seed) >>> 11) * 0x1.0p-53;
+        this.place = (settings.rank() + chance) / Math.max(1, settings.instances()) % 1;
     }
 
     @Override
     public void onList(long now, ListMode mode, List<Server> servers) {
         health.onList(now, mode, servers);
-        listFailures = mode == ListMode.FAILED ? listFailures + 1 : 0;
-        if (settings.subscribe() && (mode == ListMode.CACHED || mode == ListMode.FAILED)) {
+        listFailed = mode == ListMode.FAILED;
+        if (settings.subscribe() && (listFailed || mode == ListMode.CACHED)) {
             askLater(now);
         }
     }
 
-    /** Subscribes in this instance's turn: its rank and chance keep the instances out of step. */
+    /**
+     * Subscribes in this instance's turn. After a failure that is a fixed moment of each round, as all read one clock:
+     * the instances keep out of step however often and whenever their calls fail.
+     */
     private void askLater(long now) {
-        int instances = Math.max(1, settings.instances());
-        double apart = settings.askWithin() * SUBSCRIBE_SPREAD / instances;
-        apart = listFailures == 0 ? Math.min(SUBSCRIBE_APART_NS, apart) : apart;
-        double spread = apart * (settings.rank() + health.nextUnit());
-        actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
+        double spread = settings.askWithin() * SUBSCRIBE_SPREAD;
+        if (listFailed) {
+            long round = (long) Math.max(1, Math.min(spread, ASK_AGAIN_NS));
+            actions.wakeAt(now + 1 + Math.floorMod((long) (place * round) - now, round), TIMER_LIST);
+        } else {
+            double all = Math.min(SUBSCRIBE_APART_NS * (double) settings.instances(), spread);
+            actions.wakeAt(now + 1 + (long) (all * place), TIMER_LIST);
+        }
     }
 
     @Override
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -9,6 +9,7 @@
 
 import eiderscale.Api.Reason;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -95,6 +96,39 @@
         assertEquals(1, bed.subscriptions);
     }
 
+    /**
+     * After failures the next call came after up to twice the time to ask within, while a change counts as told 6 s
+     * after discovery can be reached; and instances of low rank called without a pause.
+     */
+    @Test
+    void failedCallsComeAgainWithinTwoSecondsAndOutOfStep() {
+        int instances = 100;
+        int rounds = 20;
+        int[] calls = new int[(rounds + 1) * 20];
+        for (int rank = 0; rank < instances; rank++) {
+            Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+            builder.subscribe = true;
+            builder.instances = instances;
+            builder.rank = rank;
+            Bed bed = new Bed(builder, rank);
+            long begun = bed.now;
+            long failed = bed.now;
+            bed.router.onList(bed.now, Api.ListMode.FAILED, List.of());
+            for (int called = 1; called <= rounds; called++) {
+                while (bed.subscriptions < called) {
+                    bed.pass(1);
+                }
+                assertTrue(bed.now - failed <= 2_001 * Bed.MS, "waited " + (bed.now - failed) / Bed.MS + " ms");
+                calls[(int) ((bed.now - begun) / (100 * Bed.MS))]++;
+                failed = bed.now;
+                bed.router.onList(bed.now, Api.ListMode.FAILED, List.of());
+            }
+            assertTrue(bed.now - begun > (rounds - 2) * 2_000 * Bed.MS, "called without a pause");
+        }
+        int most = Arrays.stream(calls).max().orElseThrow();
+        assertTrue(most <= 7, most + " calls in a tenth of a second, where a herd evenly spread makes 5");
+    }
+
     /** A slow origin failed every miss, breakers opened everywhere and keys moved to hosts that lacked them. */
     @Test
     void breakersStayClosedWhenHostsFailAlike() {
