Take clients' commands only once it is known that their client's end did not come with them

Cause: a readable connection was read once, and its commands were taken and sent on within that read. The end behind them was met by the loop's next look at the sockets.

Change: each read of a client looks behind what it got, and commands are taken by a task after the read: Netty closes the channel in between if the read met the end. A command whose client has left is passed over.

Test: nothingIsBegunForAClientWhoseEndWasReadWithItsCommand holds the loop up while a client asks and leaves; on the old code its command reaches a host.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -32,6 +33,7 @@
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
     private static final int BACKLOG = 1024;
     private static final int ACCEPTS_AT_ONCE = 256;
+    private static final int READS_AT_ONCE = 16;
     /** A connection idle for less may have a request on its way, which a close would lose. */
     private static final long LEAST_IDLE = 2 * Clock.SECOND;
     /** The same for a new one, whose client has nothing to wait for: past that it is a peer that says nothing. */
@@ -73,6 +75,10 @@
                 .option(ChannelOption.RCVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Each read looks behind what it got: a client's end is met with its last commands, not after them.
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+                                .maxMessagesPerRead(READS_AT_ONCE))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -111,12 +117,15 @@
     /** The place of one command in the order of answers. */
     private final class Slot implements Exchange.Client {
         private final Connection connection;
+        /** The command until it is taken; null from then on. */
+        private MetaFrame frame;
         private ByteBuf answer;
         private long answeredAt;
         private Exchange exchange;
 
-        Slot(Connection connection) {
+        Slot(Connection connection, MetaFrame frame) {
             this.connection = connection;
+            this.frame = frame;
         }
 
         @Override
@@ -135,7 +144,10 @@
         final MetaDecoder decoder = MetaDecoder.ofCommands();
         private final Queue<Slot> slots = new ArrayDeque<>();
         private State state = State.OPEN;
-        /** Commands that came in one read are all taken before anything is ended. */
+        /**
+         * Commands that came in one read are all taken before anything is ended, and only once it is known
+         * whether their client's end came with them: nothing is begun for a client that has left.
+         */
         private boolean reading;
         private boolean resuming;
         private boolean heard;
@@ -203,14 +215,7 @@
             reading = true;
             idle.remove(this);
             heard = true;
-            Slot slot = new Slot(this);
-            slots.add(slot);
-            if (frame.fault() != null) {
-                counters.malformed++;
-                slot.answer(frame.fault() + "\r\n", null);
-            } else {
-                take(slot, frame);
-            }
+            slots.add(new Slot(this, frame));
             if (slots.size() >= MOST_PIPELINED) {
                 decoder.hold();
             }
@@ -218,10 +223,38 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (reading) {
+                // The channel closes right after this event if the read met its end, before the loop's tasks.
+                loop.execute(this::takeRead);
+            } else {
+                flushReady();
+            }
+        }
+
+        /** Takes the commands of the last read, in their order; none are left if their client left with them. */
+        private void takeRead() {
+            try {
+                List.copyOf(slots).forEach(this::takeRead);
+            } catch (RuntimeException e) {
+                exceptionCaught(null, e);
+            }
             reading = false;
             flushReady();
         }
 
+        private void takeRead(Slot slot) {
+            MetaFrame frame = slot.frame;
+            slot.frame = null;
+            if (frame != null && decoder.drops()) {
+                slots.remove(slot);
+            } else if (frame != null && frame.fault() != null) {
+                counters.malformed++;
+                slot.answer(frame.fault() + "\r\n", null);
+            } else if (frame != null) {
+                take(slot, frame);
+            }
+        }
+
         private void take(Slot slot, MetaFrame frame) {
             switch (frame.words().get(0)) {
                 case "mg", "ms" -> request(slot, frame);
@@ -230,7 +263,7 @@
                     slot.answer("MN\r\n", null);
                 }
                 case "quit" -> {
-                    // What its client sent behind that is not looked at.
+                    // What its client sent behind that is passed over.
                     slots.remove(slot);
                     state = State.ENDING;
                     decoder.drop();
@@ -370,7 +403,7 @@
             if (!(cause instanceof java.io.IOException)) {
                 Counters.log("on a client's connection", cause);
             }
-            ctx.close();
+            channel.close();
         }
     }
 }
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -68,6 +68,10 @@
         mode = Mode.DROP;
     }
 
+    boolean drops() {
+        return mode == Mode.DROP;
+    }
+
     /** Whether so much is held back that reading has to stop. */
     boolean full() {
         return mode == Mode.HOLD && actualReadableBytes() > MOST_HELD;
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -92,6 +92,30 @@
         }
     }
 
+    /** A late loop read a command whose client had long left, and began an attempt before it met the end behind it. */
+    @Test
+    void nothingIsBegunForAClientWhoseEndWasReadWithItsCommand() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving()).start()) {
+            CountDownLatch late = new CountDownLatch(1);
+            try (Peer client = rig.client(); Peer other = rig.client()) {
+                assertEquals("MN", client.ask("mn"));
+                assertEquals("MN", other.ask("mn"));
+                rig.loop.execute(() -> {
+                    try {
+                        late.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                client.write(fragile("gone", 5_000)).leave();
+                late.countDown();
+                assertEquals("HD O2 c77", other.ask(Rig.COPY));
+            }
+            assertTrue(rig.hosts.get(0).command().contains(" O2 "), "the first command that a host got");
+            assertTrue(rig.hosts.get(0).commands.isEmpty(), "and the only one");
+        }
+    }
+
     @Test
     void whatWasHeldBackIsAnsweredWhenThereIsRoom() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
