Read on behind commands held back, and refuse in turn what there is no room to hold

Cause: behind 64 open requests of a connection commands are held back. Past 32 KiB of them nothing was read any more, so that the end of a client behind them was not seen: what was open went on, and was repeated, for a client that had left, until its deadlines.

Change: a connection may hold 512 KiB back, all together 4 MiB (32 KiB each beyond that). What does not fit is refused at once, in its turn among the answers and up to 256 KiB of refusals, so that reading goes on to the client's end. The log tells how many commands were shed.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -18,17 +18,24 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
 final class ClientServer {
-    /** Requests of one connection that may be open at once; what follows is held back undecoded. */
+    /** Requests of one connection that may be open at once; what follows is held back undecoded, or refused. */
     private static final int MOST_PIPELINED = 64;
+    /** Bytes held back over all connections, and those of one that are left to it when that is too much. */
+    private static final long MOST_HELD = 4L * 1024 * 1024;
+    private static final int LEAST_HELD = 32 * 1024;
+    /** Bytes of refusals of what could not be held back; past that a connection is not read on. */
+    private static final int MOST_SHED = 256 * 1024;
+    private static final String BUSY = "SERVER_ERROR busy\r\n";
     /** Bytes of answers, over all connections, that clients may leave unread. */
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
     private static final int BACKLOG = 1024;
@@ -56,6 +63,9 @@
     private final Set<Connection> lingering = new LinkedHashSet<>();
     private Channel server;
     private long unread;
+    private long held;
+    /** Commands refused so far as there was no room to hold them back. */
+    private long shedCommands;
     private boolean closing;
 
     /** {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. */
@@ -106,6 +116,10 @@
         return connections.size() + lingering.size();
     }
 
+    String gauges() {
+        return "clients " + clients() + " shed " + shedCommands;
+    }
+
     /**
      * A connection's states. {@code SURPLUS}: there was no room for it, all it gets is a refusal.
      * {@code ENDING}: it takes no request any more but answers each, and ends when none is open.
@@ -142,7 +156,9 @@
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
         private final SocketChannel channel;
         final MetaDecoder decoder = MetaDecoder.ofCommands();
-        private final Queue<Slot> slots = new ArrayDeque<>();
+        private final Deque<Slot> slots = new ArrayDeque<>();
+        /** The last slot while it holds the refusals of all commands from there on; null otherwise. */
+        private Slot shed;
         private State state = State.OPEN;
         /**
          * Commands that came in one read are all taken before anything is ended, and only once it is known
@@ -156,6 +172,8 @@
         private Future<?> silence;
         private long idleSince;
         private int unsent;
+        /** Its part of what is held back. */
+        private int heldBytes;
 
         Connection(SocketChannel channel) {
             this.channel = channel;
@@ -215,6 +233,11 @@
             reading = true;
             idle.remove(this);
             heard = true;
+            if (decoder.sheds() && !frame.is(0, "quit")) {
+                shed();
+                return;
+            }
+            shed = null;
             slots.add(new Slot(this, frame));
             if (slots.size() >= MOST_PIPELINED) {
                 decoder.hold();
@@ -255,6 +278,36 @@
             }
         }
 
+        /** Refuses a command for which there is no room behind the open ones, in its turn among the answers. */
+        private void shed() {
+            counters.localRefusals++;
+            shedCommands++;
+            if (shed == null) {
+                shed = new Slot(this, null);
+                slots.add(shed);
+                shed.answer(BUSY, null);
+            } else {
+                shed.answer.writeCharSequence(BUSY, StandardCharsets.ISO_8859_1);
+                unread += BUSY.length();
+            }
+        }
+
+        /** Whether more is held back, here or over all connections, than there is room for. */
+        private boolean holdsTooMuch() {
+            return decoder.full() || held > MOST_HELD && decoder.held() > LEAST_HELD;
+        }
+
+        /** Whether what is held back behind open requests has to be refused for reading to go on. */
+        private boolean mustShed() {
+            return holdsTooMuch() && slots.size() >= MOST_PIPELINED
+                    && (shed == null || shed.answer.readableBytes() < MOST_SHED);
+        }
+
+        private void countHeld(int bytes) {
+            held += bytes - heldBytes;
+            heldBytes = bytes;
+        }
+
         private void take(Slot slot, MetaFrame frame) {
             switch (frame.words().get(0)) {
                 case "mg", "ms" -> request(slot, frame);
@@ -280,7 +333,7 @@
                 proper = true;
                 counters.localRefusals++;
                 state = State.ENDING;
-                slot.answer("SERVER_ERROR busy\r\n", null);
+                slot.answer(BUSY, null);
                 return;
             }
             try {
@@ -301,6 +354,7 @@
             boolean wrote = false;
             while (!slots.isEmpty() && slots.peek().answer != null) {
                 Slot slot = slots.poll();
+                shed = slot == shed ? null : shed;
                 int bytes = slot.answer.readableBytes();
                 long turn = Clock.now();
                 unsent++;
@@ -322,6 +376,7 @@
             if (reading || state == State.LINGERING || state == State.GONE) {
                 return;
             }
+            countHeld(decoder.held());
             if (slots.isEmpty() && state == State.ENDING && !decoder.holds() && !resuming) {
                 end();
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
@@ -333,11 +388,11 @@
                 }
                 if (!channel.isWritable()) {
                     decoder.hold();
-                } else if (slots.size() < MOST_PIPELINED && decoder.holds() && !resuming) {
+                } else if (decoder.holds() && !resuming && (slots.size() < MOST_PIPELINED || mustShed())) {
                     resuming = true;
                     loop.execute(this::resume);
                 }
-                channel.config().setAutoRead(!decoder.full());
+                channel.config().setAutoRead(!holdsTooMuch());
             }
         }
 
@@ -348,7 +403,11 @@
                 return; // Closed meanwhile.
             }
             try {
-                decoder.release(context);
+                if (slots.size() < MOST_PIPELINED) {
+                    decoder.release(context);
+                } else {
+                    decoder.shed(context);
+                }
             } catch (Exception e) {
                 exceptionCaught(context, e);
             }
@@ -358,6 +417,7 @@
         /** Half-closes behind what is still being written, and reads on to the client's end. */
         private void end() {
             state = State.LINGERING;
+            countHeld(0);
             connections.remove(this);
             idle.remove(this);
             lingering.add(this);
@@ -381,6 +441,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             state = State.GONE;
+            countHeld(0);
             if (silence != null) {
                 silence.cancel(false);
             }
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -16,7 +16,7 @@
     /** Far above the longest honest line: a key of 250 bytes, an id and a list of figures. */
     static final int MOST_LINE = 2048;
     /** Bytes held back before reading stops, and with it the sight of the sender's end. */
-    private static final int MOST_HELD = 32 * 1024;
+    private static final int MOST_HELD = 512 * 1024;
     private static final int MOST_DIGITS = 9;
     private static final int CRLF = 2;
     private static final String BAD_CHUNK = "CLIENT_ERROR bad data chunk";
@@ -46,7 +46,8 @@
         return new MetaDecoder("VA", 1);
     }
 
-    private enum Mode { DECODE, HOLD, DROP }
+    /** {@code SHED}: decodes as usual, for frames that are to be refused. */
+    private enum Mode { DECODE, HOLD, SHED, DROP }
 
     /** Holds back what comes in from now on, so that its sender's end is still seen behind it. */
     void hold() {
@@ -63,6 +64,20 @@
         channelRead(ctx, Unpooled.EMPTY_BUFFER);
     }
 
+    /** Hands out what was held back for being refused, within this call, and holds back what comes after. */
+    void shed(ChannelHandlerContext ctx) throws Exception {
+        mode = mode == Mode.HOLD ? Mode.SHED : mode;
+        try {
+            channelRead(ctx, Unpooled.EMPTY_BUFFER);
+        } finally {
+            mode = mode == Mode.SHED ? Mode.HOLD : mode;
+        }
+    }
+
+    boolean sheds() {
+        return mode == Mode.SHED;
+    }
+
     /** Passes over all that comes from now on. */
     void drop() {
         mode = Mode.DROP;
@@ -74,7 +89,12 @@
 
     /** Whether so much is held back that reading has to stop. */
     boolean full() {
-        return mode == Mode.HOLD && actualReadableBytes() > MOST_HELD;
+        return held() > MOST_HELD;
+    }
+
+    /** Bytes that are held back. */
+    int held() {
+        return mode == Mode.HOLD ? actualReadableBytes() : 0;
     }
 
     /** Whether the stream stands inside a frame: what comes next is not the start of one. */
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -59,7 +59,7 @@
     }
 
     String gauges() {
-        return "clients " + server.clients() + " " + balancer.gauges();
+        return server.gauges() + " " + balancer.gauges();
     }
 
     /** A list of hosts from elsewhere than discovery. */
--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -17,6 +17,8 @@
 class CrossingsTest {
     private static final String FRAGILE = "ms 1 1 O%s Pc=copy,t=acme,d=%d\r\nx\r\n";
     private static final int LONG_MS = 60_000;
+    /** Commands of some 40 bytes: several times what is held back of a connection. */
+    private static final int MANY = 20_000;
 
     private static String fragile(String id, int waitMs) {
         return String.format(FRAGILE, id, waitMs);
@@ -92,6 +94,73 @@
         }
     }
 
+    /** Past 32 KiB held back nothing was read any more, and what was open went on for a client that had left. */
+    @Test
+    void aClientsEndIsSeenBehindFarMoreThanIsHeldBack() throws Exception {
+        try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(fragile(MANY, LONG_MS));
+                ServingTest.awaitGauge(rig, "open 64 ");
+            }
+            ServingTest.awaitGauge(rig, "open 0 ");
+            ServingTest.awaitGauge(rig, "clients 0 ");
+            assertTrue(rig.hosts.get(0).commands.size() <= 64, "what was held back is not sent");
+        }
+    }
+
+    @Test
+    void whatCannotBeHeldBackIsRefusedInItsTurn() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        FakeHost host = FakeHost.answering(command -> {
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                return null;
+            }
+            return FakeHost.served(command);
+        });
+        try (Rig rig = new Rig(host)) {
+            rig.deadlineMs = LONG_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(fragile(MANY, LONG_MS));
+                while (shed(rig) == 0) {
+                    Thread.onSpinWait();
+                }
+                release.countDown();
+                int next = 0;
+                int refused = 0;
+                for (int i = 0; i < MANY; i++) {
+                    String answer = client.line();
+                    if (answer.equals("SERVER_ERROR busy")) {
+                        refused++;
+                    } else {
+                        assertTrue(Integer.parseInt(answer.substring(4, answer.indexOf(' ', 4))) == i,
+                                "the answer to command " + i + ": " + answer);
+                        next++;
+                    }
+                }
+                assertTrue(next >= 64 && refused > 0, next + " served, " + refused + " refused");
+                assertEquals("HD O2 c77", client.ask(Rig.COPY), "the client goes on");
+            }
+        }
+    }
+
+    private static long shed(Rig rig) throws Exception {
+        String gauges = rig.loop.submit(rig.node::gauges).get();
+        return Long.parseLong(gauges.replaceAll(".* shed (\\d+) .*", "$1"));
+    }
+
+    private static String fragile(int many, int waitMs) {
+        StringBuilder commands = new StringBuilder();
+        for (int i = 0; i < many; i++) {
+            commands.append(fragile(Integer.toString(i), waitMs));
+        }
+        return commands.toString();
+    }
+
     /** A late loop read a command whose client had long left, and began an attempt before it met the end behind it. */
     @Test
     void nothingIsBegunForAClientWhoseEndWasReadWithItsCommand() throws Exception {
