Take busy as the first word on a new connection for no place there, not for a full queue

Cause: a host whose table of connections is full accepts one more, answers its first request with "busy" and closes it. HostPool told the module of that as REJECTED, and the module shed load over it while hosts stood idle.

How the two are told apart: a probe counted what follows a first "busy". So the first word is a full table nearly always; where it is not, telling it as no connection is true of what may have run (never), and the tenth of the rejections that is lost as a sign of overload leaves nine.

Change: it is told as CONNECT_FAILED, the connection is closed, and the log counts it as no-place. Test: busyAsTheFirstWordOnAConnectionTellsOfNoPlaceAndLaterOfAFullQueue.

--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -23,6 +23,8 @@
     long malformed;
     long lastCalls;
     long connects;
+    /** Of those, how many their host turned away with its first word: it had no place for them. */
+    long noPlace;
     long localRefusals;
     /** Of those refused, how many no attempt had been made for. */
     long refusedUnsent;
@@ -113,10 +115,10 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d missed %d refused %d unsent %d failed %d gone %d early %d malformed %d last-calls %d held-back %d"
-                + " | connects %d local-refusals %d evicted %d turned-away %d silent %d stale-resets %d after %.1f to %.1f ms"
+                + " | connects %d no-place %d local-refusals %d evicted %d turned-away %d silent %d stale-resets %d after %.1f to %.1f ms"
                 + " | turn worst %.1f ms slow deliveries %d worst %.1f ms"
                 + " | way worst %.1f ms timers %d late %d worst %.1f ms |", taken, served, missed, refused,
-                refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, localRefusals,
+                refusedUnsent, failed, clientsGone, goneEarly, malformed, lastCalls, heldBack, connects, noPlace, localRefusals,
                 evicted, turnedAway, silent, staleResets, longestStale > 0 ? shortestStale / 1e6 : 0, longestStale / 1e6, longestTurn / 1e6,
                 slowDeliveries, longestDelivery / 1e6, longestWay / 1e6, timers, lateTimers,
                 latest / 1e6));
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -313,7 +313,14 @@
                 Counters.log("a cache host broke the protocol: "
                         + (answer.fault() != null ? answer.fault() : answer.words()));
             }
-            finish(garbage ? Reason.ERROR : reason, answer, garbage || !written());
+            if (reason == Reason.REJECTED && answeredAt == 0) {
+                // A host with no place for the connection says so to its first request and closes it. The connection
+                // did not come up, for all that it could carry; whether the host is busy it has not told.
+                counters.noPlace++;
+                finish(Reason.CONNECT_FAILED, answer, true);
+            } else {
+                finish(garbage ? Reason.ERROR : reason, answer, garbage || !written());
+            }
         }
 
         /** What an answer means; null for what the protocol does not allow. */
--- a/src/test/java/eiderscale/net/OrderTest.java
+++ b/src/test/java/eiderscale/net/OrderTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** What the module asks for takes effect in order, and every send gets one outcome, after the module returned. */
@@ -192,6 +193,25 @@
         }
     }
 
+    /** Hosts without a place for a connection say "busy" on it and close it; that was taken for a full queue. */
+    @Test
+    void busyAsTheFirstWordOnAConnectionTellsOfNoPlaceAndLaterOfAFullQueue() throws Exception {
+        AtomicBoolean full = new AtomicBoolean(true);
+        FakeHost host = FakeHost.answering(c -> full.get() ? "SERVER_ERROR busy\r\n" : FakeHost.served(c));
+        try (Rig rig = rig((actions, now, request, to) -> actions.send(request.id(), to, 0), host).start();
+                Peer client = rig.client()) {
+            client.write(Rig.COPY + "\r\n");
+            assertEquals(Reason.CONNECT_FAILED, outcome().reason());
+            full.set(false);
+            client.write(Rig.READ + "\r\n");
+            assertEquals(Reason.OK, outcome().reason());
+            assertEquals(2, host.connections.get(), "the first one carried nothing more");
+            full.set(true);
+            client.write(Rig.READ + "\r\n");
+            assertEquals(Reason.REJECTED, outcome().reason(), "on a connection that has served");
+        }
+    }
+
     /** A fault in the module must neither end the process nor leave a request without its answer. */
     @Test
     void aRequestThatTheModuleFailsOnIsAnsweredByTheRules() throws Exception {
