Take a request for slow only past the usual time of reads where hosts need most of the aim

Log of n0: aims of 310 ms, hits of 150 to 250 ms; "quick 0 slow 5", admitted falls to 15% and stays there, 210 of 485 requests refused unsent while 0 to 3 requests are out.

Cause: a request that is out for 0.45 of the aim is a bad sign, and an answer that takes longer no good one. With aims cut to 310 ms that is 140 ms, less than hosts take that are not pressed: shedding had nothing that ever ends it.

Change: the sign comes at the median of recent reads and a tenth more, between 0.45 and 0.9 of the aim, learnt while little is shed. At the median as many signs are good as bad.

Test: hostsThatUsuallyTakeMostOfTheAimAreNotTakenForPressed.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -17,8 +17,11 @@
     private static final double LEAST_STEP = 0.02;
     private static final double MOST_STEP = 0.15;
     private static final long STEP_NS = 1_000_000_000L;
-    /** Part of the aim after which a request that is still out is a sign of overload. */
+    /** Parts of the aim between which a request that is still out becomes a sign of overload. */
     private static final double SLOW = 0.45;
+    private static final double LATE = 0.9;
+    /** Over the usual time by so much, or chance alone would make as many bad signs as good ones. */
+    private static final double OVER_USUAL = 1.1;
     /** What a rejection and a slow request say of the load, where a quick answer says 1. */
     static final double QUICKNESS = 1;
     static final double REJECTION = -3;
@@ -38,6 +41,8 @@
     private int usualOf;
     /** Signs since the last line of the log: quick answers, slow requests, rejections. */
     private final int[] signs = new int[3];
+    /** Median time of reads while little is shed; 0 as long as none is known. */
+    private long usualTime;
     /** Mean time that an ordered request keeps its key. */
     long writeTime;
     private final double[] tokens;
@@ -77,9 +82,18 @@
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
 
-    /** When a request that is still out tells of overload. */
+    /**
+     * When a request that is still out tells of overload. Where hosts that are not pressed take most of the
+     * aim, that is past their usual time. Guards against shedding before a fleet that is merely no quicker.
+     */
     long slowAfter(RequestClass requestClass) {
-        return (long) (requestClass.aim() * SLOW);
+        double usual = Math.min(requestClass.aim() * LATE, usualTime * OVER_USUAL);
+        return (long) Math.max(requestClass.aim() * SLOW, usual);
+    }
+
+    /** The median time of reads lately; what it is under overload is not usual. */
+    void readsTake(long median) {
+        usualTime = usualTime == 0 || !overloaded() ? median : usualTime;
     }
 
     /** Whether so much is shed that nothing may be sent twice without need. */
--- a/src/main/java/eiderscale/Hedging.java
+++ b/src/main/java/eiderscale/Hedging.java
@@ -24,6 +24,7 @@
     private long begun;
     private int samples;
     private long quantile;
+    private long median;
     /** The sixth rule, with the times of requests taken and of further attempts. */
     private final Budget budget;
     private final boolean stated;
@@ -78,8 +79,9 @@
     void served(long now, long latency) {
         digest.add(latency);
         samples++;
-        if (samples >= MIN_SAMPLES && samples % REFRESH_SAMPLES == 0) {
-            quantile = (long) digest.quantile(QUANTILE);
+        if (samples % REFRESH_SAMPLES == 0) {
+            median = (long) digest.quantile(0.5);
+            quantile = samples >= MIN_SAMPLES ? (long) digest.quantile(QUANTILE) : quantile;
         }
         if (samples >= AGE_SAMPLES || now - begun > AGE_NS && samples >= MIN_SAMPLES) {
             digest = new MergingDigest(COMPRESSION);
@@ -93,8 +95,13 @@
         return quantile > 0 ? quantile : -1;
     }
 
+    /** The median of recent served latencies, 0 for none. */
+    long median() {
+        return median;
+    }
+
     String gauges() {
-        return "hedge-after " + quantile / 1_000_000 + " ms further " + further.size() + " of "
-                + taken.size();
+        return "hedge-after " + quantile / 1_000_000 + " ms median " + median / 1_000_000 + " ms further "
+                + further.size() + " of " + taken.size();
     }
 }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -16,8 +16,8 @@
     /** Part of the ask-within time over which subscriptions are spread. */
     private static final double SUBSCRIBE_SPREAD = 0.5;
     /**
-     * After a failed call a change counts as told 6 s after discovery could be reached. That holds the wait for the
-     * next call, a wait in line there that ends with a refusal, and the call after it: a third each.
+     * After a failed call a change counts as told 6 s after discovery could be reached. That holds the wait
+     * for the next call, a wait in line there that ends with a refusal, and the call after it: a third each.
      */
     private static final double ASK_AGAIN_NS = 6e9 / 3;
     /** Part of the aim within which the origin answers while it has room. */
@@ -128,8 +128,8 @@
     }
 
     /**
-     * Subscribes in this instance's turn. After a failure that is a fixed moment of each round, as all read one clock:
-     * the instances keep out of step however often and whenever their calls fail.
+     * Subscribes in this instance's turn. After a failure that is a fixed moment of each round, as all read
+     * one clock: the instances keep out of step however often and whenever their calls fail.
      */
     private void askLater(long now) {
         double spread = settings.askWithin() * SUBSCRIBE_SPREAD;
@@ -364,6 +364,7 @@
         } else if (outcome.closed()) {
             if (outcome.reason() == Reason.OK && !flight.request.write() && !health.isOrigin(attempt.host)) {
                 hedging.served(now, now - flight.attempts[0].sentAt);
+                admission.readsTake(hedging.median());
             }
             cancelPending(flight, outcome.attempt());
             end(now, flight);
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -129,6 +129,29 @@
         assertTrue(most <= 7, most + " calls in a tenth of a second, where a herd evenly spread makes 5");
     }
 
+    /**
+     * Where clients wait for a short time only, hosts that were not pressed took over 0.45 of the aim for most
+     * reads: each was a sign of overload, four in five requests were shed, and nothing ever brought them back.
+     */
+    @Test
+    void hostsThatUsuallyTakeMostOfTheAimAreNotTakenForPressed() {
+        assertTrue(refusedOf(400, 520) < 20, "refused at 520 ms of an aim of 1000: " + refusedOf(400, 520));
+        assertTrue(refusedOf(400, 950) > 100, "where they are late even so, load is shed as before");
+    }
+
+    /** Of requests that come one by one, those refused in the second half, where answers take about that long. */
+    private static long refusedOf(int requests, int ms) {
+        Bed bed = bed().servers(6);
+        for (int i = 0; i < requests; i++) {
+            boolean sent = bed.request(i, Bed.READ, i) != null;
+            bed.pass(ms - 40 + i % 9 * 10);
+            if (sent) {
+                bed.endAll(i, Reason.OK);
+            }
+        }
+        return bed.refusals.stream().filter(r -> r.request() >= requests / 2).count();
+    }
+
     /** A slow origin failed every miss, breakers opened everywhere and keys moved to hosts that lacked them. */
     @Test
     void breakersStayClosedWhenHostsFailAlike() {
