Let one held host and one flood of commands serve the tests of crossings and signals

A host that serves once it is released stood five times in the tests, a pipelined flood of commands four times, and the two tests of a client's end behind held commands were one with another number. FakeHost.servedAfter, fragile(many, ms) and assertEndIsSeenBehind serve them all.

--- a/src/test/java/eiderscale/net/CrossingsTest.java
+++ b/src/test/java/eiderscale/net/CrossingsTest.java
@@ -77,31 +77,21 @@
     /** With 64 requests open nothing was read any more, and so the client's end went unseen. */
     @Test
     void aClientsEndIsSeenBehindMoreRequestsThanMayBeOpen() throws Exception {
-        try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
-            rig.deadlineMs = LONG_MS;
-            rig.start();
-            try (Peer client = rig.client()) {
-                StringBuilder commands = new StringBuilder();
-                for (int i = 0; i < 100; i++) {
-                    commands.append(fragile(Integer.toString(i), LONG_MS));
-                }
-                client.write(commands.toString());
-                ServingTest.awaitGauge(rig, "open 64 ");
-            }
-            ServingTest.awaitGauge(rig, "open 0 ");
-            ServingTest.awaitGauge(rig, "clients 0 ");
-            assertTrue(rig.hosts.get(0).commands.size() <= 64, "what was held back is not sent");
-        }
+        assertEndIsSeenBehind(100);
     }
 
     /** Past 32 KiB held back nothing was read any more, and what was open went on for a client that had left. */
     @Test
     void aClientsEndIsSeenBehindFarMoreThanIsHeldBack() throws Exception {
+        assertEndIsSeenBehind(MANY);
+    }
+
+    private static void assertEndIsSeenBehind(int commands) throws Exception {
         try (Rig rig = new Rig(FakeHost.answering(c -> null))) {
             rig.deadlineMs = LONG_MS;
             rig.start();
             try (Peer client = rig.client()) {
-                client.write(fragile(MANY, LONG_MS));
+                client.write(fragile(commands, LONG_MS));
                 ServingTest.awaitGauge(rig, "open 64 ");
             }
             ServingTest.awaitGauge(rig, "open 0 ");
@@ -113,14 +103,7 @@
     @Test
     void whatCannotBeHeldBackIsRefusedInItsTurn() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        FakeHost host = FakeHost.answering(command -> {
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                return null;
-            }
-            return FakeHost.served(command);
-        });
+        FakeHost host = FakeHost.answering(command -> FakeHost.servedAfter(release, command));
         try (Rig rig = new Rig(host)) {
             rig.deadlineMs = LONG_MS;
             rig.start();
@@ -188,20 +171,9 @@
     @Test
     void whatWasHeldBackIsAnsweredWhenThereIsRoom() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        FakeHost host = FakeHost.answering(command -> {
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                return null;
-            }
-            return FakeHost.served(command);
-        });
+        FakeHost host = FakeHost.answering(command -> FakeHost.servedAfter(release, command));
         try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
-            StringBuilder commands = new StringBuilder();
-            for (int i = 0; i < 100; i++) {
-                commands.append(fragile(Integer.toString(i), 9_000));
-            }
-            client.write(commands.append("quit\r\n").toString());
+            client.write(fragile(100, 9_000) + "quit\r\n");
             ServingTest.awaitGauge(rig, "open 64 ");
             release.countDown();
             for (int i = 0; i < 100; i++) {
@@ -240,25 +212,13 @@
     @Test
     void aStopAnswersWhatWasHeldBackBehindOpenRequests() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        FakeHost host = FakeHost.answering(command -> {
-            if (command.contains(" O0 ")) {
-                try {
-                    release.await();
-                } catch (InterruptedException e) {
-                    return null;
-                }
-            }
-            return FakeHost.served(command);
-        });
+        FakeHost host = FakeHost.answering(command -> command.contains(" O0 ")
+                ? FakeHost.servedAfter(release, command) : FakeHost.served(command));
         try (Rig rig = new Rig(host)) {
             rig.deadlineMs = LONG_MS;
             rig.start();
             try (Peer client = rig.client()) {
-                StringBuilder commands = new StringBuilder();
-                for (int i = 0; i < 100; i++) {
-                    commands.append(fragile(Integer.toString(i), LONG_MS));
-                }
-                client.write(commands.toString());
+                client.write(fragile(100, LONG_MS));
                 ServingTest.awaitGauge(rig, "open 1 ");
                 rig.loop.submit(rig.node::stop).get();
                 awaitRefusal(rig);
@@ -472,14 +432,7 @@
     @Test
     void aCopyIsNotWrittenAfterTheAnswerWhereCancellingIsForbidden() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        FakeHost slow = FakeHost.answering(command -> {
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                return null;
-            }
-            return FakeHost.served(command);
-        });
+        FakeHost slow = FakeHost.answering(command -> FakeHost.servedAfter(release, command));
         try (ConnectingTest.FullHost full = new ConnectingTest.FullHost(); Rig rig = new Rig(slow)) {
             rig.extraTargets.add(full.target());
             rig.connectMs = LONG_MS;
--- a/src/test/java/eiderscale/net/FakeHost.java
+++ b/src/test/java/eiderscale/net/FakeHost.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -88,6 +89,16 @@
         return words[0].equals("mg") ? value(command, words[1]) : "HD " + opaque(command) + " c77\r\n";
     }
 
+    /** Serves once it is released; nothing if the test is over before. */
+    static String servedAfter(CountDownLatch release, String command) {
+        try {
+            release.await();
+            return served(command);
+        } catch (InterruptedException e) {
+            return null;
+        }
+    }
+
     static String value(String command, String value) {
         return "VA " + value.length() + " " + opaque(command) + " h1 Lutil=0.5\r\n" + value + "\r\n";
     }
--- a/src/test/java/eiderscale/net/SignalsTest.java
+++ b/src/test/java/eiderscale/net/SignalsTest.java
@@ -34,14 +34,7 @@
 
     @BeforeEach
     void begin() throws IOException {
-        host = FakeHost.answering(command -> {
-            try {
-                release.await();
-            } catch (InterruptedException e) {
-                return null;
-            }
-            return FakeHost.served(command);
-        });
+        host = FakeHost.answering(command -> FakeHost.servedAfter(release, command));
         rig = new Rig(host);
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
