Keep replies that wait for earlier ones on the heap, within a memory budget

Cause: a reply was encoded into direct memory as soon as it arrived, also while it waited for the replies before it. Nothing bounded the sum, and 24 MB of direct memory are gone after some 290 values of 64 KiB. Each allocation then slept for half a second in the JDK, on the event loop, and failed. Evidence: the log of the case has "Cannot reserve 524288 bytes of direct buffer memory (allocated:, limit:)" every 520 ms from then on; the clients' sockets and the hosts were idle.

Now a waiting reply is the value as it was read, on the heap, and pieces of it are copied to direct memory only as its client reads: 16 KiB each, and 4 KiB at a time while 4 MiB are being written on all connections together. One budget of 20 MiB (less on a small heap) counts values being read, values of requests, undecoded input and waiting replies. A connection starts a command behind others only while three fifths of it have room for the replies of all reads in progress, taken to be as long as the longest lately; what waits is not refused. If the budget is used up all the same, the queue that holds most answers its last waiting value as failed; a response that still has no room is answered as failed, a request's value as busy.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -55,6 +55,7 @@
     private final SiteSettings site;
     private final EventLoop loop;
     private final Counters counters;
+    private final MemoryBudget memoryBudget;
     private final Api.Events decisionModule;
     private final HostPool pool;
     private final Discovery discovery;
@@ -70,11 +71,13 @@
     /** The total size of the values of {@link #exchanges}. */
     private long heldValueBytes;
 
-    Balancer(Config config, EventLoop loop, Counters counters, ModuleFactory moduleFactory, int maxHostConnections) {
+    Balancer(Config config, EventLoop loop, Counters counters, MemoryBudget memoryBudget, ModuleFactory moduleFactory,
+             int maxHostConnections) {
         this.site = config.site();
         this.loop = loop;
         this.counters = counters;
-        this.pool = new HostPool(site, loop, counters, maxHostConnections, this);
+        this.memoryBudget = memoryBudget;
+        this.pool = new HostPool(site, loop, counters, memoryBudget, maxHostConnections, this);
         this.discovery = new Discovery(config, loop, counters, this);
         this.decisionModule = moduleFactory.create(site.settings, config.randomSeed(), this);
         HostList configured = config.initialHostList();
@@ -96,15 +99,13 @@
         counters.received++;
         int valueBytes = valueBytes(command);
         // Without room the request is refused, which is safe as no attempt was sent.
-        if (openRequests >= site.maxOpenRequests
-                || valueBytes > 0 && heldValueBytes + valueBytes > MAX_HELD_VALUE_BYTES) {
+        if (openRequests >= site.maxOpenRequests || valueBytes > 0 && !tryHoldValue(valueBytes)) {
             counters.localRefusals++;
             replyRefused(exchange, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
         openRequests++;
-        heldValueBytes += valueBytes;
         exchange.deadlineTimer = loop.schedule(() -> replyIfOverdue(exchange),
                 deadline + OVERDUE_REPLY_DELAY_NS - nowNs, TimeUnit.NANOSECONDS);
         Api.Request request = new Api.Request(exchange.id, command.requestClassIndex, command.tenantIndex,
@@ -113,6 +114,15 @@
         return exchange;
     }
 
+    /** Reserves memory for the value of a request; returns false if there is none. */
+    private boolean tryHoldValue(int bytes) {
+        if (heldValueBytes + bytes > MAX_HELD_VALUE_BYTES || !memoryBudget.tryReserve(bytes)) {
+            return false;
+        }
+        heldValueBytes += bytes;
+        return true;
+    }
+
     private static int valueBytes(Command command) {
         return command.value == null ? 0 : command.value.length;
     }
@@ -213,6 +223,7 @@
     private void removeIfFinished(Exchange exchange) {
         if (exchange.isClosed && exchange.pendingAttempts == 0 && exchanges.remove(exchange.id) != null) {
             heldValueBytes -= valueBytes(exchange.command);
+            memoryBudget.release(valueBytes(exchange.command));
         }
     }
 
@@ -276,7 +287,9 @@
         exchange.mayHaveRun |= !reason.neverExecuted;
         dispatch(exchange, () -> {
             exchange.pendingAttempts--;
-            if (reason == Reason.OK && !exchange.isClosed) {
+            if (reason == Reason.OK && !exchange.isClosed && response.isValueDropped()) {
+                replyFailed(exchange);
+            } else if (reason == Reason.OK && !exchange.isClosed) {
                 counters.served(response.flagValue(1, 'h'), Clock.now() - attempt.sentAt);
                 openRequests--;
                 exchange.reply(replyLine(exchange.command, response), response.data());
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -1,6 +1,5 @@
 package eiderscale.net;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,10 +8,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -69,14 +65,17 @@
     private final int maxConnections;
     private final int maxOverLimitConnections;
     private final Acceptor acceptor;
+    private final MemoryBudget memoryBudget;
+    private final ReplyMemory replyMemory;
     /** Connections that are neither lingering nor closed. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections with no command in progress, the longest idle first. */
     private final Set<Connection> idleConnections = new LinkedHashSet<>();
     /** Connections in state {@link State#LINGERING}, the oldest first. */
     private final Set<Connection> lingeringConnections = new LinkedHashSet<>();
-    /** Bytes of replies not yet written to their sockets, over all connections. */
-    private long unsentBytes;
+    /** Connections that do not decode further commands for lack of memory, the longest waiting first. */
+    private final Set<Connection> connectionsAwaitingMemory = new LinkedHashSet<>();
+    private boolean isMemoryCheckScheduled;
     /** Bytes of undecoded input, over all connections. */
     private long totalBufferedBytes;
     /** Commands rejected so far because the limits on buffered input were exceeded. */
@@ -90,9 +89,11 @@
      * @param maxOverLimitConnections connections above that limit that are kept open only to reject their requests;
      *         beyond these, new connections are closed at once
      */
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, int maxConnections,
+    ClientServer(Balancer balancer, EventLoop loop, Counters counters, MemoryBudget memoryBudget, int maxConnections,
                  int maxOverLimitConnections) {
         this.balancer = balancer;
+        this.memoryBudget = memoryBudget;
+        this.replyMemory = new ReplyMemory(memoryBudget);
         this.loop = loop;
         this.counters = counters;
         this.maxConnections = maxConnections;
@@ -134,7 +135,7 @@
 
     /** Returns the current values for the metrics line. */
     String gauges() {
-        return "clients " + connectionCount() + " shed " + rejectedCommands;
+        return "clients " + connectionCount() + " shed " + rejectedCommands + " " + replyMemory.gauges();
     }
 
     private enum State {
@@ -152,44 +153,29 @@
         CLOSED
     }
 
-    /** An entry of a connection's reply queue: one command and, once complete, its reply. */
-    private final class PendingReply implements Exchange.ReplyHandler {
-        private final Connection connection;
-        /** The command until it is processed, null from then on. */
-        private MetaFrame command;
-        /** The encoded reply, null until it is complete. */
-        private ByteBuf reply;
-        /** When the reply was complete, in nanoseconds of {@link Clock}. */
-        private long completedAt;
-        /** The request, if the command is one and has been submitted to the balancer; else null. */
-        private Exchange exchange;
-
-        PendingReply(Connection connection, MetaFrame command) {
-            this.connection = connection;
-            this.command = command;
+    /** Lets connections that wait for memory decode further commands, now that some was freed. */
+    private void resumeConnectionsAwaitingMemory() {
+        if (connectionsAwaitingMemory.isEmpty() || isMemoryCheckScheduled
+                || !replyMemory.hasRoomForPipelinedCommand()) {
+            return;
         }
-
-        @Override
-        public void reply(String line, byte[] data) {
-            if (connection.state != State.CLOSED) {
-                reply = Command.encodeLine(connection.channel.alloc(), line, data);
-                completedAt = Clock.now();
-                unsentBytes += reply.readableBytes();
-                connection.writeReadyReplies();
+        isMemoryCheckScheduled = true;
+        loop.execute(() -> {
+            isMemoryCheckScheduled = false;
+            for (Connection connection : List.copyOf(connectionsAwaitingMemory)) {
+                connection.updateFlowControl();
             }
-        }
+        });
     }
 
     /** One client connection; also the last handler of its channel's pipeline. */
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
         private final RetryingSocketChannel channel;
-        final MetaDecoder decoder = MetaDecoder.forCommands();
-        /** The reply queue: one entry per command, in the order of arrival. */
-        private final Deque<PendingReply> pendingReplies = new ArrayDeque<>();
+        final MetaDecoder decoder = MetaDecoder.forCommands(memoryBudget);
+        /** One entry per command, in the order of arrival. */
+        private final ReplyQueue replies;
         /** Entries for the commands of the current read, which are processed once it is complete. */
         private final List<PendingReply> readBatch = new ArrayList<>();
-        /** The last entry of the queue while it collects the rejections of successive commands; null otherwise. */
-        private PendingReply reject;
         private State state = State.OPEN;
         /**
          * Set from the first command of a read until all its commands are processed. Until then no reply is written
@@ -213,8 +199,6 @@
         private Future<?> lingerTimer;
         /** Since when the connection has been idle, in nanoseconds of {@link Clock}; valid while it is. */
         private long idleSince;
-        /** Replies passed to the channel but not yet written to the socket. */
-        private int pendingWrites;
         /** How long the input of the next read may have waited because accept or read calls failed. */
         private long receiveDelayNs;
         /** This connection's part in {@link #totalBufferedBytes}. */
@@ -222,6 +206,7 @@
 
         Connection(ListeningChannel.AcceptedChannel channel) {
             this.channel = channel;
+            this.replies = new ReplyQueue(channel, replyMemory, counters, this::writeReadyReplies);
             this.receiveDelayNs = channel.acceptDelayNs;
         }
 
@@ -263,7 +248,8 @@
         private boolean evictIdleConnection() {
             long now = Clock.now();
             for (Connection candidate : idleConnections) {
-                if (candidate.pendingWrites == 0 && now - candidate.idleSince >= candidate.minIdleBeforeEvictionNs()) {
+                if (!candidate.replies.isBeingWritten()
+                        && now - candidate.idleSince >= candidate.minIdleBeforeEvictionNs()) {
                     counters.evictedClients++;
                     candidate.startLingeringClose();
                     if (lingeringConnections.size() > maxOverLimitConnections) {
@@ -293,11 +279,8 @@
                 reject();
                 return;
             }
-            reject = null;
-            PendingReply pending = new PendingReply(this, frame);
-            pendingReplies.add(pending);
-            readBatch.add(pending);
-            if (pendingReplies.size() >= MAX_PIPELINED_COMMANDS) {
+            readBatch.add(replies.add(frame));
+            if (isWindowFull()) {
                 decoder.pause();
             }
         }
@@ -362,17 +345,18 @@
             counters.malformedCommands++;
             state = State.DRAINING;
             decoder.discardInput();
-            reject = null;
-            PendingReply pending = new PendingReply(this, null);
-            pendingReplies.add(pending);
-            pending.reply("CLIENT_ERROR incomplete command\r\n", null);
+            replies.add(null).reply("CLIENT_ERROR incomplete command\r\n", null);
         }
 
         private void process(PendingReply pending) {
             MetaFrame frame = pending.command;
             pending.command = null;
             if (decoder.isDiscarding()) {
-                pendingReplies.remove(pending);
+                replies.remove(pending);
+            } else if (frame.isValueDropped()) {
+                hasReceivedValidCommand = true;
+                counters.localRefusals++;
+                pending.reply(Command.BUSY_REPLY, null);
             } else if (frame.protocolError() != null) {
                 counters.malformedCommands++;
                 pending.reply(frame.protocolError() + "\r\n", null);
@@ -388,14 +372,20 @@
         private void reject() {
             counters.localRefusals++;
             rejectedCommands++;
-            if (reject == null) {
-                reject = new PendingReply(this, null);
-                pendingReplies.add(reject);
-                reject.reply(Command.BUSY_REPLY, null);
-            } else {
-                reject.reply.writeCharSequence(Command.BUSY_REPLY, StandardCharsets.ISO_8859_1);
-                unsentBytes += Command.BUSY_REPLY.length();
-            }
+            replies.reject();
+        }
+
+        /** Whether no further command may be started until earlier ones have their replies. */
+        private boolean isWindowFull() {
+            return replies.size() >= MAX_PIPELINED_COMMANDS || isAwaitingMemory();
+        }
+
+        /**
+         * Whether there is no memory for the reply to a further command. A command that no other precedes is always
+         * started: its reply can be written as soon as it arrives.
+         */
+        private boolean isAwaitingMemory() {
+            return !replies.isEmpty() && !replyMemory.hasRoomForPipelinedCommand();
         }
 
         /** Whether this connection buffers too much undecoded input, by itself or while the total is over its limit. */
@@ -406,12 +396,12 @@
 
         /** Whether buffered commands have to be rejected for reading to continue. */
         private boolean mustRejectBuffered() {
-            return isBufferLimitExceeded() && pendingReplies.size() >= MAX_PIPELINED_COMMANDS
-                    && (reject == null || reject.reply.readableBytes() < MAX_REJECTION_BYTES);
+            return isBufferLimitExceeded() && isWindowFull() && replies.rejectionBytes() < MAX_REJECTION_BYTES;
         }
 
         private void updateBufferedBytes(int bytes) {
             totalBufferedBytes += bytes - countedBufferedBytes;
+            memoryBudget.add(bytes - countedBufferedBytes);
             countedBufferedBytes = bytes;
         }
 
@@ -424,7 +414,7 @@
                 }
                 case "quit" -> {
                     // Commands after quit are discarded.
-                    pendingReplies.remove(pending);
+                    replies.remove(pending);
                     state = State.DRAINING;
                     decoder.discardInput();
                 }
@@ -458,24 +448,8 @@
             if (isReadBatchPending || state == State.CLOSED) {
                 return;
             }
-            boolean hasWritten = false;
-            while (!pendingReplies.isEmpty() && pendingReplies.peek().reply != null) {
-                PendingReply pending = pendingReplies.poll();
-                reject = pending == reject ? null : reject;
-                int replyBytes = pending.reply.readableBytes();
-                long writeStartedAt = Clock.now();
-                pendingWrites++;
-                channel.write(pending.reply).addListener(done -> {
-                    unsentBytes -= replyBytes;
-                    pendingWrites--;
-                    counters.recordReplyWrite(writeStartedAt - pending.completedAt,
-                            Clock.now() - pending.completedAt);
-                });
-                hasWritten = true;
-            }
-            if (hasWritten) {
-                channel.flush();
-            }
+            replies.write();
+            resumeConnectionsAwaitingMemory();
             updateFlowControl();
         }
 
@@ -488,19 +462,20 @@
                 return;
             }
             updateBufferedBytes(decoder.bufferedBytes());
-            if (pendingReplies.isEmpty() && state == State.DRAINING && !decoder.isPaused() && !isResumeScheduled) {
+            if (replies.isEmpty() && state == State.DRAINING && !decoder.isPaused() && !isResumeScheduled) {
                 startLingeringClose();
-            } else if (unsentBytes > MAX_TOTAL_UNSENT_BYTES && !channel.isWritable()) {
+            } else if (memoryBudget.usedBytes() > MAX_TOTAL_UNSENT_BYTES && !channel.isWritable()) {
                 // Prevents a client that does not read its replies from exhausting the memory.
                 channel.close();
             } else {
-                if (pendingReplies.isEmpty()) {
+                if (replies.isEmpty()) {
                     markIdle();
                 }
+                updateMemoryWait();
                 if (!channel.isWritable()) {
                     decoder.pause();
                 } else if (decoder.isPaused() && !isResumeScheduled
-                        && (pendingReplies.size() < MAX_PIPELINED_COMMANDS || mustRejectBuffered())) {
+                        && (!isWindowFull() || mustRejectBuffered())) {
                     isResumeScheduled = true;
                     loop.execute(this::resumeDecoding);
                 }
@@ -508,6 +483,14 @@
             }
         }
 
+        private void updateMemoryWait() {
+            if (decoder.isPaused() && isAwaitingMemory()) {
+                connectionsAwaitingMemory.add(this);
+            } else {
+                connectionsAwaitingMemory.remove(this);
+            }
+        }
+
         private void resumeDecoding() {
             isResumeScheduled = false;
             ChannelHandlerContext ctx = channel.pipeline().context(decoder);
@@ -515,9 +498,9 @@
                 return; // The channel was closed in the meantime.
             }
             try {
-                if (pendingReplies.size() < MAX_PIPELINED_COMMANDS) {
+                if (!isWindowFull()) {
                     decoder.resume(ctx);
-                } else {
+                } else if (mustRejectBuffered()) {
                     decoder.decodeForRejection(ctx);
                 }
             } catch (Exception e) {
@@ -554,7 +537,7 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            updateFlowControl();
+            writeReadyReplies();
         }
 
         @Override
@@ -573,31 +556,18 @@
             connections.remove(this);
             lingeringConnections.remove(this);
             idleConnections.remove(this);
-            for (PendingReply pending : pendingReplies) {
-                if (pending.reply != null) {
-                    unsentBytes -= pending.reply.readableBytes();
-                    pending.reply.release();
-                } else if (pending.exchange != null) {
-                    balancer.onClientDisconnect(pending.exchange);
-                }
-            }
-            pendingReplies.clear();
+            connectionsAwaitingMemory.remove(this);
+            replies.close(balancer);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof java.io.IOException) {
-                counters.recordBrokenClientConnection(cause, openRequestOpaques());
+                counters.recordBrokenClientConnection(cause, replies.openRequestOpaques());
             } else {
                 Counters.log("unexpected exception on a client connection", cause);
             }
             channel.close();
         }
-
-        /** Returns the opaque tokens of the requests in progress, for the log. */
-        private List<String> openRequestOpaques() {
-            return pendingReplies.stream().filter(pending -> pending.reply == null && pending.exchange != null)
-                    .map(pending -> pending.exchange.command.opaque).toList();
-        }
     }
 }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -73,6 +73,7 @@
 
     private final SiteSettings site;
     private final Counters counters;
+    private final MemoryBudget memoryBudget;
     /** Most connections to all hosts together. */
     private final int maxConnections;
     /**
@@ -93,9 +94,11 @@
     /** Connections to all hosts that hold a slot, at most {@link #maxConnections}. */
     private int connectionCount;
 
-    HostPool(SiteSettings site, EventLoop loop, Counters counters, int maxConnections, AttemptListener listener) {
+    HostPool(SiteSettings site, EventLoop loop, Counters counters, MemoryBudget memoryBudget, int maxConnections,
+             AttemptListener listener) {
         this.site = site;
         this.counters = counters;
+        this.memoryBudget = memoryBudget;
         this.maxConnections = maxConnections;
         this.idleTimeoutNs = Math.max((long) (site.idleTimeoutNs * MIN_IDLE_TIMEOUT_FRACTION),
                 site.idleTimeoutNs - site.connectTimeoutNs);
@@ -262,7 +265,7 @@
     final class PooledConnection extends SimpleChannelInboundHandler<MetaFrame> {
         private final Host host;
         private final int generation;
-        private final MetaDecoder decoder = MetaDecoder.forResponses();
+        private final MetaDecoder decoder = MetaDecoder.forResponses(memoryBudget);
         private State state = State.CONNECTING;
         private Channel channel;
         /** The attempt in flight, or the one to write when the connection is up; null if there is none. */
@@ -364,13 +367,14 @@
                 counters.connectionsRejectedByHost++;
                 finishAttempt(Reason.CONNECT_FAILED, response, true);
             } else {
-                finishAttempt(isProtocolError ? Reason.ERROR : reason, response, isProtocolError || !isWritten());
+                finishAttempt(isProtocolError ? Reason.ERROR : reason, response,
+                        isProtocolError || response.isValueDropped() || !isWritten());
             }
         }
 
         /** The result that a response stands for; null if it violates the protocol or does not fit the command. */
         private static Reason classify(Command command, MetaFrame response) {
-            if (response.protocolError() != null) {
+            if (response.protocolError() != null && !response.isValueDropped()) {
                 return null;
             }
             if (response.tokenIs(0, "SERVER_ERROR")) {
--- /dev/null
+++ b/src/main/java/eiderscale/net/MemoryBudget.java
@@ -0,0 +1,66 @@
+package eiderscale.net;
+
+/**
+ * The heap memory that peers make this process hold, in bytes: undecoded input, values of requests and responses, and
+ * replies that wait for earlier ones or for their client to read. Each part adds what it holds and releases it again.
+ * All methods must be called on the event loop.
+ */
+final class MemoryBudget {
+    /** Frees memory by giving up something that is held. */
+    interface Reclaimer {
+        /** Returns whether something was given up; false if there is nothing to give up. */
+        boolean reclaim();
+    }
+
+    /** Limit for the heap size of the deploy file; the rest is for the program itself and for short-lived objects. */
+    private static final long MAX_BYTES = 20L * 1024 * 1024;
+    /** Limit as a fraction of the largest heap, for smaller heaps. */
+    private static final double MAX_HEAP_FRACTION = 0.42;
+
+    private final long limitBytes;
+    private long usedBytes;
+    private Reclaimer reclaimer = () -> false;
+
+    MemoryBudget(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Returns a budget that fits the heap of this process. */
+    static MemoryBudget ofThisProcess() {
+        return new MemoryBudget(Math.min(MAX_BYTES, (long) (Runtime.getRuntime().maxMemory() * MAX_HEAP_FRACTION)));
+    }
+
+    /** Sets what is called when a reservation does not fit. */
+    void setReclaimer(Reclaimer reclaimer) {
+        this.reclaimer = reclaimer;
+    }
+
+    /** Reserves memory within the limit, after reclaiming some if necessary; returns false if there is not enough. */
+    boolean tryReserve(int bytes) {
+        while (usedBytes + bytes > limitBytes) {
+            if (!reclaimer.reclaim()) {
+                return false;
+            }
+        }
+        usedBytes += bytes;
+        return true;
+    }
+
+    /** Adds memory that is held already, even above the limit; for what has a limit of its own. */
+    void add(long bytes) {
+        usedBytes += bytes;
+    }
+
+    /** Releases memory that was reserved or added. */
+    void release(long bytes) {
+        usedBytes -= bytes;
+    }
+
+    long usedBytes() {
+        return usedBytes;
+    }
+
+    long limitBytes() {
+        return limitBytes;
+    }
+}
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -25,16 +26,20 @@
     /** Maximum number of digits of a data block's length, so that it fits an int. */
     private static final int MAX_LENGTH_DIGITS = 9;
     private static final int CRLF_BYTES = 2;
+    private static final byte[] EMPTY_DATA = new byte[0];
     private static final String BAD_DATA_CHUNK = "CLIENT_ERROR bad data chunk";
 
     /** First token of the lines that are followed by a data block. */
     private final String dataKeyword;
     /** Index of the token of such a line that holds the length of the data block. */
     private final int lengthIndex;
+    /** Where the memory of {@link #data} is reserved until the block is complete. */
+    private final MemoryBudget memoryBudget;
     /** The line that announced the data block being read. */
     private List<String> dataLineTokens;
-    /** The data block being read, null if there is none. */
+    /** The part of a data block that has been read, null if there is none; it grows as the block arrives. */
     private byte[] data;
+    private int dataLength;
     private int dataBytesRead;
     /** Bytes of an overlong data block and its CRLF that are still to be discarded. */
     private long bytesToDiscard;
@@ -42,19 +47,20 @@
     private boolean isDiscardingLine;
     private Mode mode = Mode.DECODING;
 
-    private MetaDecoder(String dataKeyword, int lengthIndex) {
+    private MetaDecoder(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget) {
         this.dataKeyword = dataKeyword;
         this.lengthIndex = lengthIndex;
+        this.memoryBudget = memoryBudget;
     }
 
     /** Returns a decoder of client commands, of which {@code ms} has a data block. */
-    static MetaDecoder forCommands() {
-        return new MetaDecoder("ms", 2);
+    static MetaDecoder forCommands(MemoryBudget memoryBudget) {
+        return new MetaDecoder("ms", 2, memoryBudget);
     }
 
     /** Returns a decoder of cache host responses, of which {@code VA} has a data block. */
-    static MetaDecoder forResponses() {
-        return new MetaDecoder("VA", 1);
+    static MetaDecoder forResponses(MemoryBudget memoryBudget) {
+        return new MetaDecoder("VA", 1, memoryBudget);
     }
 
     private enum Mode {
@@ -207,19 +213,24 @@
             return;
         }
         dataLineTokens = tokens;
-        data = new byte[length];
+        data = EMPTY_DATA;
+        dataLength = length;
         dataBytesRead = 0;
     }
 
     private void decodeData(ByteBuf in, List<Object> out) {
-        int count = Math.min(data.length - dataBytesRead, in.readableBytes());
+        int count = Math.min(dataLength - dataBytesRead, in.readableBytes());
+        if (!ensureDataCapacity(dataBytesRead + count)) {
+            dropData(out);
+            return;
+        }
         in.readBytes(data, dataBytesRead, count);
         dataBytesRead += count;
-        if (dataBytesRead < data.length || in.readableBytes() < CRLF_BYTES) {
+        if (dataBytesRead < dataLength || in.readableBytes() < CRLF_BYTES) {
             return;
         }
         byte[] completeData = data;
-        data = null;
+        releaseData();
         if (in.getByte(in.readerIndex()) == '\r' && in.getByte(in.readerIndex() + 1) == '\n') {
             in.skipBytes(CRLF_BYTES);
             out.add(new MetaFrame(dataLineTokens, completeData, null));
@@ -228,4 +239,39 @@
             isDiscardingLine = true;
         }
     }
+
+    /**
+     * Makes room for the first {@code bytes} bytes of the data block. It grows by doubling, so that a peer has to send a
+     * value to make it held. Returns false if there is no memory.
+     */
+    private boolean ensureDataCapacity(int bytes) {
+        if (bytes <= data.length) {
+            return true;
+        }
+        int capacity = Math.min(dataLength, Math.max(bytes, 2 * data.length));
+        if (!memoryBudget.tryReserve(capacity - data.length)) {
+            return false;
+        }
+        data = Arrays.copyOf(data, capacity);
+        return true;
+    }
+
+    /** Discards a data block for which there is no memory, as it arrives. */
+    private void dropData(List<Object> out) {
+        bytesToDiscard = (long) dataLength - dataBytesRead + CRLF_BYTES;
+        releaseData();
+        out.add(MetaFrame.valueDropped(dataLineTokens));
+    }
+
+    private void releaseData() {
+        if (data != null) {
+            memoryBudget.release(data.length);
+            data = null;
+        }
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+        releaseData();
+    }
 }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -36,13 +36,19 @@
 
     /** Creates an instance. Must be called on the event loop, like all methods of this class. */
     Node(Config config, EventLoop loop, Balancer.ModuleFactory moduleFactory) {
+        this(config, loop, moduleFactory, MemoryBudget.ofThisProcess());
+    }
+
+    /** Creates an instance that holds at most so much for its peers. Must be called on the event loop. */
+    Node(Config config, EventLoop loop, Balancer.ModuleFactory moduleFactory, MemoryBudget memoryBudget) {
         this.config = config;
         this.loop = loop;
         int availableSockets = config.maxSockets() - Math.min(RESERVED_DESCRIPTORS, config.maxSockets() / 4);
         int maxClients = Math.max(1, (int) (availableSockets * CLIENT_SOCKET_FRACTION));
-        balancer = new Balancer(config, loop, counters, moduleFactory,
+        balancer = new Balancer(config, loop, counters, memoryBudget, moduleFactory,
                 Math.max(1, availableSockets - maxClients - MAX_OVER_LIMIT_CLIENTS));
-        clientServer = new ClientServer(balancer, loop, counters, maxClients, MAX_OVER_LIMIT_CLIENTS);
+        clientServer = new ClientServer(balancer, loop, counters, memoryBudget, maxClients,
+                MAX_OVER_LIMIT_CLIENTS);
     }
 
     /**
