Answer requests whose handling ends in an Error, and go on after it

Cause: only some exceptions were caught. An Error left the connection's batch of commands unfinished for good, so that it wrote no replies; a request was closed, and its timer stopped, before its reply was encoded; periodic and stop tasks, the slot of a host connection and the discovery call ended with an Error too. Ruled out: the loop itself does not end, its tasks are shielded.

Now a request is closed only once its reply is in the queue, and otherwise answered by the balancer itself, at once or again 5 ms later; commands of a batch are processed independently; replies that cannot be written, and input that cannot be decoded, stay and are tried again; an attempt that cannot be encoded counts against no host. If the loop ends all the same, the process does, as it could not serve and nobody would notice.

--- a/src/main/java/eiderscale/net/Acceptor.java
+++ b/src/main/java/eiderscale/net/Acceptor.java
@@ -101,7 +101,12 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ListeningChannel.AcceptedChannel accepted = (ListeningChannel.AcceptedChannel) message;
-        listener.onAccepted(accepted);
+        try {
+            listener.onAccepted(accepted);
+        } catch (Throwable e) {
+            accepted.unsafe().closeForcibly();
+            throw e;
+        }
         loop.register(accepted).addListener(done -> {
             if (!done.isSuccess()) {
                 accepted.unsafe().closeForcibly();
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -29,6 +29,7 @@
     private static final long CLIENT_NETWORK_MARGIN_NS = 6 * Clock.MILLISECOND;
     /** How long after its deadline a request that the module has left open gets a reply without the module. */
     private static final long OVERDUE_REPLY_DELAY_NS = Clock.MILLISECOND;
+    private static final long REPLY_RETRY_DELAY_MS = 5;
     /** Maximum total size of the values of the requests in memory; the heap has room for a few times as much. */
     private static final long MAX_HELD_VALUE_BYTES = 8L * 1024 * 1024;
 
@@ -106,12 +107,23 @@
         }
         exchanges.put(exchange.id, exchange);
         openRequests++;
+        try {
+            start(exchange, nowNs);
+        } catch (Throwable e) {
+            Counters.log("unexpected exception while starting a request", e);
+            tryReplyWithoutModule(exchange);
+            removeIfFinished(exchange);
+        }
+        return exchange;
+    }
+
+    private void start(Exchange exchange, long nowNs) {
+        Command command = exchange.command;
         exchange.deadlineTimer = loop.schedule(() -> replyIfOverdue(exchange),
-                deadline + OVERDUE_REPLY_DELAY_NS - nowNs, TimeUnit.NANOSECONDS);
+                exchange.deadline + OVERDUE_REPLY_DELAY_NS - nowNs, TimeUnit.NANOSECONDS);
         Api.Request request = new Api.Request(exchange.id, command.requestClassIndex, command.tenantIndex,
-                command.numericKey(), deadline, command.expectedWorkNs, command.isRetry, command.isWrite);
+                command.numericKey(), exchange.deadline, command.expectedWorkNs, command.isRetry, command.isWrite);
         dispatch(exchange, () -> decisionModule.onRequest(Clock.now(), request));
-        return exchange;
     }
 
     /** Reserves memory for the value of a request; returns false if there is none. */
@@ -141,7 +153,7 @@
     /** Ends all attempts and replies to all open requests as in {@link #replyWithoutModule}: the program stops. */
     void replyToAllWithoutModule() {
         for (Exchange exchange : List.copyOf(exchanges.values())) {
-            replyWithoutModule(exchange);
+            tryReplyWithoutModule(exchange);
         }
     }
 
@@ -207,11 +219,11 @@
     private void deliver(Event event) {
         try {
             event.moduleCall.run();
-        } catch (RuntimeException | LinkageError | StackOverflowError e) {
-            // An error in the module must not affect other requests, nor leave this one without a reply.
+        } catch (Throwable e) {
+            // Whatever fails, also for lack of memory, must not affect other requests, nor leave this one without a reply.
             Counters.log("unexpected exception while delivering an event to the decision module", e);
             if (event.exchange != null) {
-                replyWithoutModule(event.exchange);
+                tryReplyWithoutModule(event.exchange);
             }
         }
         if (event.exchange != null) {
@@ -231,7 +243,17 @@
     private void replyIfOverdue(Exchange exchange) {
         if (!exchange.isClosed) {
             counters.overdueReplies++;
+            tryReplyWithoutModule(exchange);
+        }
+    }
+
+    /** Calls {@link #replyWithoutModule}; if that fails, tries again after a short delay. */
+    private void tryReplyWithoutModule(Exchange exchange) {
+        try {
             replyWithoutModule(exchange);
+        } catch (Throwable e) {
+            Counters.log("cannot reply to a request, trying again", e);
+            loop.schedule(() -> tryReplyWithoutModule(exchange), REPLY_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -290,9 +312,9 @@
             if (reason == Reason.OK && !exchange.isClosed && response.isValueDropped()) {
                 replyFailed(exchange);
             } else if (reason == Reason.OK && !exchange.isClosed) {
+                exchange.reply(replyLine(exchange.command, response), response.data());
                 counters.served(response.flagValue(1, 'h'), Clock.now() - attempt.sentAt);
                 openRequests--;
-                exchange.reply(replyLine(exchange.command, response), response.data());
                 abandonUnwrittenAttempts(exchange);
             }
             float[] report = site.parseReport(response == null ? null : response.flagValue(1, 'L'));
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -56,6 +56,7 @@
     private static final long LINGER_TIMEOUT_MS = 1_000;
     /** How long the client may take to read the last replies, which are written before our FIN. */
     private static final long FINAL_FLUSH_TIMEOUT_MS = 10_000;
+    private static final long DECODE_RETRY_DELAY_MS = 5;
     private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
@@ -303,11 +304,7 @@
                 return; // The read reached the end of the stream; channelInactive follows.
             }
             receiveDelayNs += channel.getAndResetReadDelayNs();
-            try {
-                readBatch.forEach(this::process);
-            } catch (RuntimeException e) {
-                exceptionCaught(null, e);
-            }
+            readBatch.forEach(this::processOrReject);
             readBatch.clear();
             receiveDelayNs = 0;
             isReadBatchPending = false;
@@ -348,6 +345,18 @@
             replies.add(null).reply("CLIENT_ERROR incomplete command\r\n", null);
         }
 
+        /** Processes a command; if that fails before it is a request, it is rejected, and others are not affected. */
+        private void processOrReject(PendingReply pending) {
+            try {
+                process(pending);
+            } catch (Throwable e) {
+                Counters.log("unexpected exception while processing a command", e);
+                if (pending.exchange == null) {
+                    pending.reply(Command.BUSY_REPLY, null);
+                }
+            }
+        }
+
         private void process(PendingReply pending) {
             MetaFrame frame = pending.command;
             pending.command = null;
@@ -503,7 +512,7 @@
                 } else if (mustRejectBuffered()) {
                     decoder.decodeForRejection(ctx);
                 }
-            } catch (Exception e) {
+            } catch (Throwable e) {
                 exceptionCaught(ctx, e);
             }
             channelReadComplete(ctx);
@@ -567,7 +576,13 @@
             } else {
                 Counters.log("unexpected exception on a client connection", cause);
             }
-            channel.close();
+            if (cause instanceof OutOfMemoryError) {
+                // The input is still there: decoded again when there may be memory.
+                decoder.pause();
+                loop.schedule(this::resumeDecoding, DECODE_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            } else {
+                channel.close();
+            }
         }
     }
 }
--- a/src/main/java/eiderscale/net/Connector.java
+++ b/src/main/java/eiderscale/net/Connector.java
@@ -40,12 +40,19 @@
             throw new IllegalStateException("connect must be called on the event loop");
         }
         RetryingSocketChannel channel = openChannel();
-        channel.config().setConnectTimeoutMillis(timeoutMs);
-        channel.pipeline().addLast(handlers);
-        ChannelFuture registered = loop.register(channel);
-        if (registered.cause() != null) {
+        try {
+            channel.config().setConnectTimeoutMillis(timeoutMs);
+            channel.pipeline().addLast(handlers);
+            ChannelFuture registered = loop.register(channel);
+            if (registered.cause() != null) {
+                throw new SocketUnavailableException(registered.cause());
+            }
+        } catch (SocketUnavailableException e) {
             channel.unsafe().closeForcibly();
-            throw new SocketUnavailableException(registered.cause());
+            throw e;
+        } catch (Throwable e) {
+            channel.unsafe().closeForcibly();
+            throw new SocketUnavailableException(e);
         }
         ChannelFuture connected = channel.connect(address);
         connected.addListener(done -> {
@@ -59,7 +66,7 @@
     private RetryingSocketChannel openChannel() throws SocketUnavailableException {
         try {
             return new RetryingSocketChannel(RETRY_TIMEOUTS, counters);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             throw new SocketUnavailableException(e);
         }
     }
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -199,8 +199,14 @@
     private void startCall() {
         state = State.CALLING;
         callCount++;
-        call = new Call(callCount);
-        call.start();
+        try {
+            call = new Call(callCount);
+            call.start();
+        } catch (Throwable e) {
+            // Without a call in flight or scheduled the watch would never go on.
+            Counters.log("cannot start a discovery call", e);
+            scheduleCall(LOCAL_FAILURE_RETRY_DELAY_MS);
+        }
     }
 
     /**
--- a/src/main/java/eiderscale/net/DrainingRecvByteBufAllocator.java
+++ b/src/main/java/eiderscale/net/DrainingRecvByteBufAllocator.java
@@ -1,5 +1,8 @@
 package eiderscale.net;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
@@ -14,6 +17,7 @@
     private static final long MAX_BYTES_PER_READ_LOOP = 1024 * 1024;
     private static final int MAX_READS_PER_READ_LOOP = 4_096;
 
+    private static final int FALLBACK_BUFFER_BYTES = 512;
     /** Chooses the sizes of the buffers. */
     private final RecvByteBufAllocator bufferSizer = new AdaptiveRecvByteBufAllocator();
 
@@ -40,6 +44,16 @@
             totalBytesRead = 0;
         }
 
+        /** Falls back to the heap: without a buffer Netty would close the connection, with replies owed on it. */
+        @Override
+        public ByteBuf allocate(ByteBufAllocator alloc) {
+            try {
+                return super.allocate(alloc);
+            } catch (OutOfMemoryError e) {
+                return Unpooled.buffer(FALLBACK_BUFFER_BYTES);
+            }
+        }
+
         @Override
         public void lastBytesRead(int bytes) {
             super.lastBytesRead(bytes);
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -48,16 +48,29 @@
     boolean close() {
         boolean isFirstClose = !isClosed;
         isClosed = true;
-        if (isFirstClose && deadlineTimer != null) {
-            deadlineTimer.cancel(false);
-        }
+        cancelDeadlineTimer();
         return isFirstClose;
     }
 
-    /** Sends the final reply, unless the request is closed already. */
+    /** Sends the final reply, unless the request is closed already. If that fails, the request is still open. */
     void reply(String line, byte[] data) {
-        if (close()) {
+        if (isClosed) {
+            return;
+        }
+        isClosed = true;
+        boolean isReplied = false;
+        try {
             replyHandler.reply(line, data);
+            isReplied = true;
+        } finally {
+            isClosed = isReplied;
+        }
+        cancelDeadlineTimer();
+    }
+
+    private void cancelDeadlineTimer() {
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel(false);
         }
     }
 }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -343,7 +343,14 @@
             }
             state = State.AWAITING_RESPONSE;
             long remainingWaitMs = Math.max(1, (attempt.deadline - nowNs) / Clock.MILLISECOND);
-            ByteBuf bytes = attempt.exchange.command.encode(channel.alloc(), remainingWaitMs);
+            ByteBuf bytes;
+            try {
+                bytes = attempt.exchange.command.encode(channel.alloc(), remainingWaitMs);
+            } catch (OutOfMemoryError e) {
+                Counters.log("no memory to send an attempt", e);
+                finishAttempt(Reason.MOOT, null, true);
+                return;
+            }
             counters.recordSendDelay(nowNs - attempt.sentAt);
             writeFuture = channel.writeAndFlush(bytes);
         }
--- a/src/main/java/eiderscale/net/ListeningChannel.java
+++ b/src/main/java/eiderscale/net/ListeningChannel.java
@@ -67,7 +67,7 @@
         try {
             accepted.add(new AcceptedChannel(this, socket, isFailing() ? Clock.now() - failingSince : 0));
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             Counters.log("cannot set up an accepted connection", e);
             socket.close();
             return false;
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -32,6 +32,10 @@
             }
             EventLoop loop = retryUntilDeadline(
                     () -> new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next());
+            loop.terminationFuture().addListener(done -> {
+                Counters.log("the event loop has ended unexpectedly");
+                Runtime.getRuntime().halt(1);
+            });
             Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             ConfigReloader reloader = new ConfigReloader(() -> Config.read(configPath),
                     newConfig -> loop.execute(() -> node.reload(newConfig)));
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -146,6 +146,16 @@
             }
             return;
         }
+        int frameStart = in.readerIndex();
+        try {
+            decodeFrame(in, out);
+        } catch (OutOfMemoryError e) {
+            in.readerIndex(frameStart); // To be decoded again, as the sender is owed a reply.
+            throw e;
+        }
+    }
+
+    private void decodeFrame(ByteBuf in, List<Object> out) {
         if (bytesToDiscard > 0) {
             int discarded = (int) Math.min(bytesToDiscard, in.readableBytes());
             in.skipBytes(discarded);
@@ -252,8 +262,13 @@
         if (!memoryBudget.tryReserve(capacity - data.length)) {
             return false;
         }
-        data = Arrays.copyOf(data, capacity);
-        return true;
+        try {
+            data = Arrays.copyOf(data, capacity);
+            return true;
+        } catch (OutOfMemoryError e) {
+            memoryBudget.release(capacity - data.length);
+            return false;
+        }
     }
 
     /** Discards a data block for which there is no memory, as it arrives. */
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -75,7 +75,7 @@
             if (counters.hasNewProblems() | ++sweepCount % SWEEPS_PER_METRICS_LINE == 0) {
                 logMetrics();
             }
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             // Caught, as an exception thrown from a periodic task would cancel its further runs.
             Counters.log("unexpected exception in the periodic work", e);
         }
@@ -140,7 +140,7 @@
     private void replyToOpenRequests() {
         try {
             balancer.replyToAllWithoutModule();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             Counters.log("unexpected exception while replying to open requests", e);
         }
     }
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -83,7 +83,17 @@
             return;
         }
         setReply(pending, encode(line, data));
-        listener.onReplyReady();
+        notifyListener();
+    }
+
+    /** Calls the listener. If it fails, the reply stays in the queue, and the call is repeated after a short delay. */
+    private void notifyListener() {
+        try {
+            listener.onReplyReady();
+        } catch (Throwable e) {
+            Counters.log("unexpected exception while writing replies", e);
+            scheduleWrite(WRITE_RETRY_DELAY_MS);
+        }
     }
 
     private static ByteBuf encode(String line, byte[] data) {
@@ -234,7 +244,7 @@
             isWriteScheduled = true;
             channel.eventLoop().schedule(() -> {
                 isWriteScheduled = false;
-                listener.onReplyReady();
+                notifyListener();
             }, delayMs, TimeUnit.MILLISECONDS);
         }
     }
--- a/src/main/java/eiderscale/net/RetryingSocketChannel.java
+++ b/src/main/java/eiderscale/net/RetryingSocketChannel.java
@@ -14,7 +14,7 @@
 
 /**
  * A TCP connection that survives transient failures of system calls: interruption by a signal (EINTR), lack of memory
- * (ENOMEM, ENOBUFS), and errors that only this end sees (ETIMEDOUT, EHOSTUNREACH). A broken connection reports its
+ * (ENOMEM, ENOBUFS, also that of this process while writing), and errors that only this end sees (ETIMEDOUT, EHOSTUNREACH). A broken connection reports its
  * error once and the end of the stream on the next read, so a second read distinguishes it from a transient failure.
  */
 class RetryingSocketChannel extends NioSocketChannel {
@@ -160,7 +160,7 @@
             writesFailingSince = NOT_FAILING;
         } catch (ClosedChannelException e) {
             throw e;
-        } catch (IOException e) {
+        } catch (IOException | OutOfMemoryError e) {
             writesFailingSince = writesFailingSince == NOT_FAILING ? Clock.now() : writesFailingSince;
             if (Clock.now() - writesFailingSince >= retryTimeouts.writeNs) {
                 throw e;
--- a/src/test/java/eiderscale/net/ModuleIntegrationTest.java
+++ b/src/test/java/eiderscale/net/ModuleIntegrationTest.java
@@ -246,6 +246,34 @@
         }
     }
 
+    /** An Error on the event loop, such as a lack of memory, left its connection without any further reply. */
+    @Test
+    void requestAndLaterOnesOnItsConnectionAreAnsweredAfterAnError() throws Exception {
+        try (BalancerFixture fixture = newFixture((actions, now, request, serverId) -> {
+            if (request.classIndex() == 0) {
+                throw new OutOfMemoryError("thrown by the test before a send");
+            }
+            actions.send(request.id(), serverId, 0);
+        }, FakeHost.serving()).start(); LineSocket client = fixture.connectClient()) {
+            assertEquals("SERVER_ERROR busy", client.request(BalancerFixture.READ));
+            assertEquals("HD O2 c77", client.request(BalancerFixture.NON_IDEMPOTENT_WRITE));
+        }
+    }
+
+    /** An Error after the attempt was sent left the request without a reply, and the attempt without an end. */
+    @Test
+    void sentRequestIsFailedAfterAnError() throws Exception {
+        try (BalancerFixture fixture = newFixture((actions, now, request, serverId) -> {
+            actions.send(request.id(), serverId, 0);
+            throw new OutOfMemoryError("thrown by the test after a send");
+        }, FakeHost.responding(command -> null)).start(); LineSocket client = fixture.connectClient()) {
+            client.write(BalancerFixture.READ + "\r\n");
+            String reply = client.readLine();
+            assertTrue(reply.equals("SERVER_ERROR failed") || reply.equals("SERVER_ERROR busy"), reply);
+            ServingTest.awaitGauges(fixture, "open 0 ledger 0 ");
+        }
+    }
+
     /** A request for which the module never acts must still get its reply in time. */
     @Test
     void requestIgnoredByTheModuleIsRefusedAtItsDeadline() throws Exception {
