Never close a connection for the replies that others hold

Cause: ClientServer.updateFlowControl closed a connection if the unsent replies of all connections exceeded 8 MiB and its own channel was not writable. The sum counted replies that wait for order, and a channel is not writable whenever 128 KiB were passed to it at once, which is so just when a connection's waiting replies become free. Ruled out: the log shows no failure of memory, and the hosts served all commands.

The rule is gone: the memory budget bounds what replies hold, and what finds no room is answered as failed. For clients that do not read at all there is a limit of time: while over half of the budget is used, a connection whose client has read nothing for 10 s is closed (`stalled` in the log).

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -18,9 +18,9 @@
  * Server for client connections: decodes pipelined commands and writes the replies in the order of the commands.
  *
  * <p>Limits per connection and in total bound the commands in progress, the undecoded input and the unsent replies.
- * Clients are disconnected if they do not complete a command in time, or do not read their replies while too many are
- * unsent; idle ones are disconnected when new connections need their place. All methods must be called on the event
- * loop.
+ * Clients are disconnected if they do not complete a command in time, or read nothing of their replies for long while
+ * memory is scarce; idle ones are disconnected when new connections need their place. All methods must be called on the
+ * event loop.
  */
 final class ClientServer {
     /** Maximum commands of one connection awaiting their replies; further input is buffered undecoded or rejected. */
@@ -37,8 +37,6 @@
      * as the input exceeds its limit the connection is not read from.
      */
     private static final int MAX_REJECTION_BYTES = 256 * 1024;
-    /** Maximum unsent replies over all connections; above it, connections with a full write buffer are closed. */
-    private static final long MAX_TOTAL_UNSENT_BYTES = 8L * 1024 * 1024;
     /** A connection that has been idle for less is not evicted: a request may be in transit and would be lost. */
     private static final long EVICTION_MIN_IDLE_NS = 2 * Clock.SECOND;
     /**
@@ -56,6 +54,8 @@
     private static final long LINGER_TIMEOUT_MS = 1_000;
     /** How long the client may take to read the last replies, which are written before our FIN. */
     private static final long FINAL_FLUSH_TIMEOUT_MS = 10_000;
+    /** How long a client may read nothing of the replies that are being written to it while memory is scarce. */
+    private static final long STALLED_WRITE_TIMEOUT_NS = 10 * Clock.SECOND;
     private static final long DECODE_RETRY_DELAY_MS = 5;
     private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
@@ -124,6 +124,21 @@
         }
     }
 
+    /**
+     * If memory is scarce, closes the connections whose client has read nothing for
+     * {@link #STALLED_WRITE_TIMEOUT_NS} although replies are being written to it. Called periodically.
+     */
+    void closeStalledConnections() {
+        long now = Clock.now();
+        for (Connection connection : List.copyOf(connections)) {
+            boolean isStalled = now - connection.replies.lastProgressAt(now) >= STALLED_WRITE_TIMEOUT_NS;
+            if (isStalled && replyMemory.isScarce()) {
+                counters.stalledClients++;
+                connection.close();
+            }
+        }
+    }
+
     /** Whether the listening socket and all connections are closed. */
     boolean isTerminated() {
         return acceptor.isClosed() && connectionCount() == 0;
@@ -473,9 +488,6 @@
             updateBufferedBytes(decoder.bufferedBytes());
             if (replies.isEmpty() && state == State.DRAINING && !decoder.isPaused() && !isResumeScheduled) {
                 startLingeringClose();
-            } else if (memoryBudget.usedBytes() > MAX_TOTAL_UNSENT_BYTES && !channel.isWritable()) {
-                // Prevents a client that does not read its replies from exhausting the memory.
-                channel.close();
             } else {
                 if (replies.isEmpty()) {
                     markIdle();
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -67,6 +67,8 @@
     long rejectedClients;
     /** Client connections closed because they sent no complete command in time. */
     long silentClients;
+    /** Client connections closed because the client did not read its replies while memory was scarce. */
+    long stalledClients;
     /** Attempts on reused connections that ended because the connection was lost. */
     long staleResets;
     /** The shortest time that such a connection had been idle, since the last metrics line. */
@@ -221,6 +223,7 @@
         line.count("connects", connectionsStarted).count("no-place", connectionsRejectedByHost)
                 .count("local-refusals", localRefusals).count("evicted", evictedClients)
                 .count("turned-away", rejectedClients).count("silent", silentClients)
+                .count("stalled", stalledClients)
                 .count("stale-resets", staleResets);
         if (maxStaleIdleNs > 0) {
             line.millis("after", minStaleIdleNs).millis("to", maxStaleIdleNs);
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -68,10 +68,11 @@
         return clientServer.listen(config.listenAddress());
     }
 
-    /** Periodic work: evicts expired connections, and logs the metrics regularly and soon after a problem. */
+    /** Periodic work: closes expired and stalled connections, and logs the metrics regularly and soon after a problem. */
     private void sweep() {
         try {
             balancer.evictExpiredConnections();
+            clientServer.closeStalledConnections();
             if (counters.hasNewProblems() | ++sweepCount % SWEEPS_PER_METRICS_LINE == 0) {
                 logMetrics();
             }
--- a/src/main/java/eiderscale/net/ReplyMemory.java
+++ b/src/main/java/eiderscale/net/ReplyMemory.java
@@ -13,6 +13,8 @@
      * rest is for connections with one command, whose replies can be written as soon as they arrive.
      */
     private static final double PIPELINING_FRACTION = 0.6;
+    /** Part of the memory budget from which on memory is scarce. */
+    private static final double SCARCITY_FRACTION = 0.5;
     /** Bytes passed to the channels of all connections above which each gets its replies in small pieces. */
     private static final long MAX_TOTAL_BYTES_BEING_WRITTEN = 4L * 1024 * 1024;
     /** The estimate of a reply's size falls by this fraction of the difference with each smaller reply. */
@@ -49,6 +51,11 @@
         return budget.usedBytes() + expectedBytes <= budget.limitBytes() * PIPELINING_FRACTION;
     }
 
+    /** Whether so much memory is used that clients that do not read their replies have to be disconnected. */
+    boolean isScarce() {
+        return budget.usedBytes() > budget.limitBytes() * SCARCITY_FRACTION;
+    }
+
     /** Drops the last value that waits in the queue that holds most; returns false if no value waits. */
     @Override
     public boolean reclaim() {
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -42,6 +43,12 @@
     private PendingReply rejections;
     /** Bytes of the complete replies in the queue. */
     private int replyBytes;
+    /** Bytes of the pieces that were written to the socket completely. */
+    private long writtenBytes;
+    /** The bytes written at the last call of {@link #lastProgressAt}. */
+    private long lastSeenWrittenBytes;
+    /** The result of the last call of {@link #lastProgressAt}. */
+    private long lastProgressAt;
     /** Pieces passed to the channel but not yet written to the socket. */
     private int pendingChunks;
     private boolean isWriting;
@@ -145,6 +152,20 @@
         return pendingChunks > 0;
     }
 
+    /**
+     * Returns when the last bytes were written to the socket, as far as the calls of this method show; {@code now} if
+     * nothing is being written.
+     */
+    long lastProgressAt(long now) {
+        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+        long bytes = writtenBytes + (outbound == null ? 0 : outbound.currentProgress());
+        if (pendingChunks == 0 || bytes != lastSeenWrittenBytes) {
+            lastSeenWrittenBytes = bytes;
+            lastProgressAt = now;
+        }
+        return lastProgressAt;
+    }
+
     /** Returns the opaque tokens of the requests in progress, for the log. */
     List<String> openRequestOpaques() {
         return entries.stream().filter(pending -> pending.reply == null && pending.exchange != null)
@@ -226,6 +247,7 @@
         channel.write(chunk).addListener(done -> {
             memory.onWriteEnded(length);
             pendingChunks--;
+            writtenBytes += length;
             if (!done.isSuccess()) {
                 channel.close(); // Without this piece the replies behind it must not be sent.
             }
--- a/src/test/java/eiderscale/net/PipeliningMemoryTest.java
+++ b/src/test/java/eiderscale/net/PipeliningMemoryTest.java
@@ -68,4 +68,31 @@
             }
         }
     }
+
+    /** Case 2: connections of clients that read were closed once the replies of all had exceeded a limit together. */
+    @Test
+    void clientsThatReadGetAllRepliesHoweverManyWaited(@TempDir Path directory) throws Exception {
+        List<LineSocket> clients = new ArrayList<>();
+        try (BalancerFixture fixture = newFixture();
+                BalancerProcess process = new BalancerProcess(directory, fixture, null).startAndAwaitServing()) {
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(startPipeliningClient(process));
+            }
+            try (LineSocket single = process.connectClient()) {
+                assertEquals("VA " + VALUE_BYTES + " O1", single.request(BalancerFixture.READ));
+            }
+            writesReleased.countDown();
+            for (LineSocket client : clients) {
+                assertEquals("HD Ow c77", client.readLine());
+                for (int i = 0; i < READS_PER_CLIENT; i++) {
+                    assertEquals("VA " + VALUE_BYTES + " O" + i, client.readLine());
+                    assertEquals(VALUE, client.readData(VALUE_BYTES));
+                }
+            }
+        } finally {
+            for (LineSocket client : clients) {
+                client.close();
+            }
+        }
+    }
 }
