Count a request's time from the arrival of its last byte

Cause: at 64 open commands decoding pauses, and Balancer.submit counted the deadline, the time passed on and the last-resort timer from when decoding went on. Ruled out: failing reads, whose delay was passed on before; the record has none.

Input that is read after a pause of reading counts from the begin of the pause, as nothing tells when it reached the socket; the delays of failing accepts and reads count as before. A request whose time is over when its turn comes is refused at once, with no attempt (`expired` in the log).

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -15,8 +15,8 @@
 /**
  * Connects the decision module to the sockets: keeps track of open requests, their attempts and their timers, passes
  * events to the module and carries out its actions. The module decides what is sent, repeated, refused or cancelled.
- * Requests get a reply without it only if there is no room for them, if they are overdue, if the module fails on them,
- * or when the program stops.
+ * Requests get a reply without it only if there is no room for them, if their time is over, if the module fails on
+ * them, or when the program stops.
  *
  * <p>All methods must be called on the event loop. The module is not reentrant and gets one event at a time: an event
  * that one of its actions causes is queued, and delivered when the module has returned.
@@ -91,13 +91,19 @@
     /**
      * Accepts a request, which gets exactly one reply unless its client disconnects before.
      *
-     * @param waitedNs how long the client may already have waited before the request could be read
+     * @param receivedAt when the last byte of the request was received, from which on the client's wait counts, in
+     *         nanoseconds of {@link Clock}
      */
-    Exchange submit(Command command, Exchange.ReplyHandler replyHandler, long waitedNs) {
+    Exchange submit(Command command, Exchange.ReplyHandler replyHandler, long receivedAt) {
         long nowNs = Clock.now();
-        long deadline = nowNs - waitedNs + command.timeoutMs * Clock.MILLISECOND - CLIENT_NETWORK_MARGIN_NS;
+        long deadline = receivedAt + command.timeoutMs * Clock.MILLISECOND - CLIENT_NETWORK_MARGIN_NS;
         Exchange exchange = new Exchange(++lastRequestId, command, deadline, replyHandler);
         counters.received++;
+        if (nowNs >= deadline) {
+            counters.expiredRequests++;
+            replyRefused(exchange, 0);
+            return exchange;
+        }
         int valueBytes = valueBytes(command);
         // Without room the request is refused, which is safe as no attempt was sent.
         if (openRequests >= site.maxOpenRequests || valueBytes > 0 && !tryHoldValue(valueBytes)) {
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -56,6 +56,7 @@
     private static final long FINAL_FLUSH_TIMEOUT_MS = 10_000;
     /** How long a client may read nothing of the replies that are being written to it while memory is scarce. */
     private static final long STALLED_WRITE_TIMEOUT_NS = 10 * Clock.SECOND;
+    private static final long NO_BACKLOG = Long.MAX_VALUE;
     private static final long DECODE_RETRY_DELAY_MS = 5;
     private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
@@ -187,7 +188,7 @@
     /** One client connection; also the last handler of its channel's pipeline. */
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
         private final RetryingSocketChannel channel;
-        final MetaDecoder decoder = MetaDecoder.forCommands(memoryBudget);
+        final MetaDecoder decoder = MetaDecoder.forCommands(memoryBudget, this::receivedAt);
         /** One entry per command, in the order of arrival. */
         private final ReplyQueue replies;
         /** Entries for the commands of the current read, which are processed once it is complete. */
@@ -215,8 +216,15 @@
         private Future<?> lingerTimer;
         /** Since when the connection has been idle, in nanoseconds of {@link Clock}; valid while it is. */
         private long idleSince;
-        /** How long the input of the next read may have waited because accept or read calls failed. */
+        /** How long the input of the current or next read may have waited because accept or read calls failed. */
         private long receiveDelayNs;
+        /** Whether input has been received since {@link #channelReadComplete}. */
+        private boolean hasReceivedInput;
+        /**
+         * Since when input may have waited in the socket because reading was paused, in nanoseconds of {@link Clock};
+         * {@link #NO_BACKLOG} if it was read completely since.
+         */
+        private long backlogSince = NO_BACKLOG;
         /** This connection's part in {@link #totalBufferedBytes}. */
         private int countedBufferedBytes;
 
@@ -250,6 +258,32 @@
                     TimeUnit.MILLISECONDS);
         }
 
+        /** Returns when the input that is being read was received at the latest, as far as this process can know. */
+        private long receivedAt() {
+            hasReceivedInput = true;
+            receiveDelayNs += channel.getAndResetReadDelayNs();
+            return Math.min(Clock.now() - receiveDelayNs, backlogSince);
+        }
+
+        /** Notes whether the read that is complete has left input in the socket. */
+        private void updateBacklog() {
+            if (!hasReceivedInput) {
+                return;
+            }
+            hasReceivedInput = false;
+            receiveDelayNs = 0;
+            if (channel.config().isAutoRead() && channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0) {
+                backlogSince = NO_BACKLOG;
+            }
+            noteIfReadingIsPaused();
+        }
+
+        private void noteIfReadingIsPaused() {
+            if (!channel.config().isAutoRead()) {
+                backlogSince = Math.min(backlogSince, Clock.now());
+            }
+        }
+
         private void markIdle() {
             if (idleConnections.add(this)) {
                 idleSince = Clock.now();
@@ -295,7 +329,7 @@
                 reject();
                 return;
             }
-            readBatch.add(replies.add(frame));
+            readBatch.add(replies.add(frame, decoder.frameReceivedAt()));
             if (isWindowFull()) {
                 decoder.pause();
             }
@@ -303,6 +337,7 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            updateBacklog();
             if (isReadBatchPending) {
                 // Deferred: if the read reached the end of the stream, Netty closes the channel right after this
                 // event and before the tasks of the event loop run.
@@ -318,10 +353,8 @@
             if (!channel.isOpen()) {
                 return; // The read reached the end of the stream; channelInactive follows.
             }
-            receiveDelayNs += channel.getAndResetReadDelayNs();
             readBatch.forEach(this::processOrReject);
             readBatch.clear();
-            receiveDelayNs = 0;
             isReadBatchPending = false;
             writeReadyReplies();
             startIncompleteCommandTimer();
@@ -357,7 +390,7 @@
             counters.malformedCommands++;
             state = State.DRAINING;
             decoder.discardInput();
-            replies.add(null).reply("CLIENT_ERROR incomplete command\r\n", null);
+            replies.add(null, lastReadAt).reply("CLIENT_ERROR incomplete command\r\n", null);
         }
 
         /** Processes a command; if that fails before it is a request, it is rejected, and others are not affected. */
@@ -460,7 +493,7 @@
             try {
                 Command command = new Command(frame, balancer.site());
                 hasReceivedValidCommand = true;
-                pending.exchange = balancer.submit(command, pending, receiveDelayNs);
+                pending.exchange = balancer.submit(command, pending, pending.receivedAt);
             } catch (Command.MalformedCommandException e) {
                 counters.malformedCommands++;
                 pending.reply(e.getMessage() + "\r\n", null);
@@ -501,6 +534,7 @@
                     loop.execute(this::resumeDecoding);
                 }
                 channel.config().setAutoRead(!isBufferLimitExceeded());
+                noteIfReadingIsPaused();
             }
         }
 
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -35,6 +35,8 @@
     long malformedCommands;
     /** Requests that got a reply without the decision module, as it had not given one by their deadline. */
     long overdueReplies;
+    /** Requests refused because their client's wait was over before they could be started. */
+    long expiredRequests;
     /** Connections to cache hosts that the pool has begun to open. */
     long connectionsStarted;
     /** Outgoing connections that could not be started, as no socket could be created. */
@@ -216,7 +218,8 @@
         line.count("taken", received).count("served", served).count("missed", missed).count("refused", refused)
                 .count("unsent", refusedWithoutAttempt).count("failed", failed).count("gone", clientDisconnects)
                 .count("early", earlyClientDisconnects).count("malformed", malformedCommands)
-                .count("last-calls", overdueReplies).count("held-back", lateAndUnwritten).endGroup();
+                .count("last-calls", overdueReplies).count("expired", expiredRequests)
+                .count("held-back", lateAndUnwritten).endGroup();
     }
 
     private void appendConnections(MetricsLine line) {
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /**
  * Decodes a byte stream into {@link MetaFrame}s. The syntax is checked strictly, and memory is bounded: an overlong
@@ -35,6 +36,8 @@
     private final int lengthIndex;
     /** Where the memory of {@link #data} is reserved until the block is complete. */
     private final MemoryBudget memoryBudget;
+    private final LongSupplier receiveClock;
+    private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     /** The line that announced the data block being read. */
     private List<String> dataLineTokens;
     /** The part of a data block that has been read, null if there is none; it grows as the block arrives. */
@@ -47,20 +50,25 @@
     private boolean isDiscardingLine;
     private Mode mode = Mode.DECODING;
 
-    private MetaDecoder(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget) {
+    private MetaDecoder(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget, LongSupplier receiveClock) {
         this.dataKeyword = dataKeyword;
         this.lengthIndex = lengthIndex;
         this.memoryBudget = memoryBudget;
+        this.receiveClock = receiveClock;
     }
 
-    /** Returns a decoder of client commands, of which {@code ms} has a data block. */
-    static MetaDecoder forCommands(MemoryBudget memoryBudget) {
-        return new MetaDecoder("ms", 2, memoryBudget);
+    /**
+     * Returns a decoder of client commands, of which {@code ms} has a data block.
+     *
+     * @param receiveClock called on each read; returns when its bytes were received, see {@link #frameReceivedAt}
+     */
+    static MetaDecoder forCommands(MemoryBudget memoryBudget, LongSupplier receiveClock) {
+        return new MetaDecoder("ms", 2, memoryBudget, receiveClock);
     }
 
     /** Returns a decoder of cache host responses, of which {@code VA} has a data block. */
     static MetaDecoder forResponses(MemoryBudget memoryBudget) {
-        return new MetaDecoder("VA", 1, memoryBudget);
+        return new MetaDecoder("VA", 1, memoryBudget, Clock::now);
     }
 
     private enum Mode {
@@ -134,6 +142,19 @@
                 && (data != null || bytesToDiscard == 0 && !isDiscardingLine && actualReadableBytes() > 0);
     }
 
+    /** Returns when the last byte of the frame was received that is being emitted. */
+    long frameReceivedAt() {
+        return arrivalTimes.receivedAt(actualReadableBytes());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes && bytes.isReadable()) {
+            arrivalTimes.onReceived(bytes.readableBytes(), receiveClock.getAsLong());
+        }
+        super.channelRead(ctx, message);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (mode == Mode.DISCARDING) {
--- a/src/main/java/eiderscale/net/PendingReply.java
+++ b/src/main/java/eiderscale/net/PendingReply.java
@@ -5,6 +5,8 @@
 /** An entry of a connection's {@link ReplyQueue}: one command and, once complete, its reply. */
 final class PendingReply implements Exchange.ReplyHandler {
     private final ReplyQueue queue;
+    /** When the last byte of the command was received, in nanoseconds of {@link Clock}. */
+    final long receivedAt;
     /** Whether the command is a read, whose reply may hold a value. */
     final boolean isRead;
     /** The command until it is processed, null from then on. */
@@ -16,8 +18,9 @@
     /** When the reply was complete, in nanoseconds of {@link Clock}. */
     long completedAt;
 
-    PendingReply(ReplyQueue queue, MetaFrame command) {
+    PendingReply(ReplyQueue queue, MetaFrame command, long receivedAt) {
         this.queue = queue;
+        this.receivedAt = receivedAt;
         this.command = command;
         this.isRead = command != null && command.tokenIs(0, "mg");
     }
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -62,10 +62,15 @@
         this.listener = listener;
     }
 
-    /** Appends an entry for a command; {@code command} is null if the reply does not depend on it. */
-    PendingReply add(MetaFrame command) {
+    /**
+     * Appends an entry for a command.
+     *
+     * @param command null if the reply does not depend on it
+     * @param receivedAt when the last byte of the command was received, in nanoseconds of {@link Clock}
+     */
+    PendingReply add(MetaFrame command, long receivedAt) {
         rejections = null;
-        PendingReply pending = new PendingReply(this, command);
+        PendingReply pending = new PendingReply(this, command, receivedAt);
         if (entries.isEmpty()) {
             memory.register(this);
         }
@@ -126,7 +131,7 @@
     /** Appends the rejection of a command, to the last entry if that is one of rejections. */
     void reject() {
         if (rejections == null) {
-            PendingReply pending = add(null);
+            PendingReply pending = add(null, Clock.now());
             setReply(pending, Unpooled.buffer(Command.BUSY_REPLY.length()));
             rejections = pending;
         }
--- /dev/null
+++ b/src/test/java/eiderscale/net/PipeliningDeadlineTest.java
@@ -0,0 +1,87 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderscale.Api;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are given too much time because they waited behind others of their connection. */
+class PipeliningDeadlineTest {
+    /** Commands of one connection that are in progress at most. */
+    private static final int WINDOW = 64;
+    private static final int BUFFERED_COMMANDS = 10;
+    private static final int TIMEOUT_MS = 15_000;
+    /** How long the hosts hold the first commands, at least. */
+    private static final long HOLD_MS = 400;
+    /** A timeout that is over when the hosts respond. */
+    private static final int SHORT_TIMEOUT_MS = 200;
+
+    /** A module that forwards every request to the first host. */
+    private static Api.Events forwardingModule(Api.Settings settings, long seed, Api.Actions moduleActions) {
+        return new NoOpModule(moduleActions) {
+            private long serverId;
+
+            @Override
+            public void onServerList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                serverId = servers.isEmpty() ? serverId : servers.get(0).id();
+            }
+
+            @Override
+            public void onRequest(long now, Api.Request request) {
+                actions.send(request.id(), serverId, 0);
+            }
+        };
+    }
+
+    private static String reads(String prefix, int count, int timeoutMs) {
+        StringBuilder commands = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            commands.append("mg ").append(i).append(" v O").append(prefix).append(i).append(" Pc=read,t=acme,d=")
+                    .append(timeoutMs).append("\r\n");
+        }
+        return commands.toString();
+    }
+
+    private static void assertServed(LineSocket client, String prefix, int count) throws Exception {
+        for (int i = 0; i < count; i++) {
+            assertTrue(client.readLine().endsWith(" O" + prefix + i));
+            client.readLine();
+        }
+    }
+
+    /** Case 3: commands behind 64 open ones got their whole time anew when these had ended. */
+    @Test
+    void timeOfABufferedCommandRunsFromItsArrival() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        FakeHost host = FakeHost.responding(command -> FakeHost.responseAfter(released, command));
+        try (BalancerFixture fixture = new BalancerFixture(host)) {
+            fixture.moduleFactory = PipeliningDeadlineTest::forwardingModule;
+            fixture.start();
+            try (LineSocket client = fixture.connectClient()) {
+                client.write(reads("first", WINDOW, TIMEOUT_MS) + reads("late", BUFFERED_COMMANDS, TIMEOUT_MS)
+                        + reads("over", BUFFERED_COMMANDS, SHORT_TIMEOUT_MS) + reads("last", 1, TIMEOUT_MS));
+                long sentAt = System.nanoTime();
+                for (int i = 0; i < WINDOW; i++) {
+                    host.awaitCommand();
+                }
+                Thread.sleep(HOLD_MS);
+                long heldMs = (System.nanoTime() - sentAt) / Clock.MILLISECOND;
+                released.countDown();
+                assertServed(client, "first", WINDOW);
+                assertServed(client, "late", BUFFERED_COMMANDS);
+                for (int i = 0; i < BUFFERED_COMMANDS; i++) {
+                    assertEquals("SERVER_ERROR busy", client.readLine(), "its time is over, and no attempt was made");
+                }
+                assertServed(client, "last", 1);
+                for (int i = 0; i < BUFFERED_COMMANDS + 1; i++) {
+                    String command = host.awaitCommand();
+                    assertTrue(ServingTest.statedTimeoutMs(command) <= TIMEOUT_MS - heldMs,
+                            command + " after " + heldMs + " ms");
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/eiderscale/net/ServingTest.java
+++ b/src/test/java/eiderscale/net/ServingTest.java
@@ -12,7 +12,7 @@
  */
 class ServingTest {
     /** The timeout that a forwarded command states to the host ({@code d=}); -1 if there is none. */
-    private static int statedTimeoutMs(String command) {
+    static int statedTimeoutMs(String command) {
         String parameters = command.substring(command.indexOf(" P") + 2).split(" ")[0];
         for (String parameter : parameters.split(",")) {
             if (parameter.startsWith("d=")) {
