Let replies that wait for earlier ones not hold up later commands

Cause: the limit of 64 open commands of a connection counted every command without a written reply, also those long answered that waited for their turn.

Now it counts commands in progress. Waiting replies are bounded in bytes, 4 MiB on a connection and the budget over all, and in number, 1,024 on a connection.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -23,8 +23,12 @@
  * event loop.
  */
 final class ClientServer {
-    /** Maximum commands of one connection awaiting their replies; further input is buffered undecoded or rejected. */
-    private static final int MAX_PIPELINED_COMMANDS = 64;
+    /** Maximum commands of one connection in progress; further input is buffered undecoded or rejected. */
+    private static final int MAX_COMMANDS_IN_PROGRESS = 64;
+    /** The same for all commands whose reply has not been written, as it waits for an earlier one. */
+    private static final int MAX_PIPELINED_COMMANDS = 1024;
+    /** Waiting replies of one connection above which it starts no further command. */
+    private static final int MAX_WAITING_REPLY_BYTES = 4 * 1024 * 1024;
     /**
      * Maximum undecoded input buffered over all connections. Above it, connections that buffer more than
      * {@link #MIN_BUFFER_BYTES_PER_CONNECTION} are not read from.
@@ -326,7 +330,7 @@
             idleConnections.remove(this);
             hasReceivedFrame = true;
             if (decoder.isRejecting() && !frame.tokenIs(0, "quit")) {
-                reject();
+                reject(frame);
                 return;
             }
             readBatch.add(replies.add(frame, decoder.frameReceivedAt()));
@@ -423,10 +427,11 @@
         }
 
         /**
-         * Rejects a command because the input buffered behind the commands in progress exceeds its limit. The
-         * rejection keeps its place in the order of replies.
+         * Rejects a command because the input buffered behind the commands in progress exceeds its limit, or the
+         * connection is to end. The rejection keeps its place in the order of replies.
          */
-        private void reject() {
+        private void reject(MetaFrame frame) {
+            hasReceivedValidCommand |= frame.isRequest();
             counters.localRefusals++;
             rejectedCommands++;
             replies.reject();
@@ -434,7 +439,8 @@
 
         /** Whether no further command may be started until earlier ones have their replies. */
         private boolean isWindowFull() {
-            return replies.size() >= MAX_PIPELINED_COMMANDS || isAwaitingMemory();
+            return replies.inProgressCount() >= MAX_COMMANDS_IN_PROGRESS || replies.size() >= MAX_PIPELINED_COMMANDS
+                    || replies.waitingBytes() >= MAX_WAITING_REPLY_BYTES || isAwaitingMemory();
         }
 
         /**
@@ -453,7 +459,11 @@
 
         /** Whether buffered commands have to be rejected for reading to continue. */
         private boolean mustRejectBuffered() {
-            return isBufferLimitExceeded() && isWindowFull() && replies.rejectionBytes() < MAX_REJECTION_BYTES;
+            return isBufferLimitExceeded() && isWindowFull() && mayQueueRejection();
+        }
+
+        private boolean mayQueueRejection() {
+            return replies.rejectionBytes() < MAX_REJECTION_BYTES && replyMemory.hasRoomForRejections();
         }
 
         private void updateBufferedBytes(int bytes) {
--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/src/main/java/eiderscale/net/MetaFrame.java
@@ -32,6 +32,11 @@
         return VALUE_DROPPED_ERROR.equals(protocolError);
     }
 
+    /** Whether this is a command that reads or writes a key, valid or not. */
+    boolean isRequest() {
+        return tokenIs(0, "mg") || tokenIs(0, "ms");
+    }
+
     /** Whether the token at that index exists and equals {@code token}. */
     boolean tokenIs(int index, String token) {
         return index < tokens.size() && tokens.get(index).equals(token);
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -41,6 +41,8 @@
     private final Deque<PendingReply> entries = new ArrayDeque<>();
     /** The last entry while it collects the rejections of successive commands; null otherwise. */
     private PendingReply rejections;
+    /** Entries without a reply. */
+    private int inProgressCount;
     /** Bytes of the complete replies in the queue. */
     private int replyBytes;
     /** Bytes of the pieces that were written to the socket completely. */
@@ -76,6 +78,7 @@
         }
         entries.add(pending);
         memory.add(ENTRY_BYTES);
+        inProgressCount++;
         if (pending.isRead) {
             memory.onReadStarted();
         }
@@ -114,8 +117,8 @@
     }
 
     private void setReply(PendingReply pending, ByteBuf reply) {
+        onCompleted(pending);
         if (pending.isRead) {
-            memory.onReadEnded();
             memory.recordReadReply(reply.readableBytes());
         }
         pending.reply = reply;
@@ -123,6 +126,13 @@
         addReplyBytes(reply.readableBytes());
     }
 
+    private void onCompleted(PendingReply pending) {
+        inProgressCount--;
+        if (pending.isRead) {
+            memory.onReadEnded();
+        }
+    }
+
     private void addReplyBytes(int bytes) {
         replyBytes += bytes;
         memory.add(bytes);
@@ -152,6 +162,11 @@
         return entries.size();
     }
 
+    /** Returns the number of commands without a reply. */
+    int inProgressCount() {
+        return inProgressCount;
+    }
+
     /** Whether pieces of replies are passed to the channel but not yet written to the socket. */
     boolean isBeingWritten() {
         return pendingChunks > 0;
@@ -297,8 +312,8 @@
         memory.release(ENTRY_BYTES);
         if (pending.reply != null) {
             addReplyBytes(-pending.reply.writerIndex());
-        } else if (pending.isRead) {
-            memory.onReadEnded();
+        } else {
+            onCompleted(pending);
         }
     }
 }
