Refuse buffered commands as soon as their connection drains, not at the end

Cause: commands behind 64 open ones stayed undecoded although a draining connection refuses them in any case; they were decoded batch by batch in the last 70 ms, after the open ones had been answered at the drain deadline.

Now a draining connection takes its requests out of the buffer at once; their rejections share one entry of the queue and keep their place in the order.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -329,7 +329,7 @@
             isReadBatchPending = true;
             idleConnections.remove(this);
             hasReceivedFrame = true;
-            if (decoder.isRejecting() && !frame.tokenIs(0, "quit")) {
+            if (decoder.isRejecting() && !frame.tokenIs(0, "quit") || state == State.DRAINING && frame.isRequest()) {
                 reject(frame);
                 return;
             }
@@ -439,6 +439,10 @@
 
         /** Whether no further command may be started until earlier ones have their replies. */
         private boolean isWindowFull() {
+            if (state != State.OPEN) {
+                // Requests are rejected, which needs no others to end.
+                return replies.size() >= MAX_PIPELINED_COMMANDS || !mayQueueRejection();
+            }
             return replies.inProgressCount() >= MAX_COMMANDS_IN_PROGRESS || replies.size() >= MAX_PIPELINED_COMMANDS
                     || replies.waitingBytes() >= MAX_WAITING_REPLY_BYTES || isAwaitingMemory();
         }
--- a/src/test/java/eiderscale/net/PipeliningDeadlineTest.java
+++ b/src/test/java/eiderscale/net/PipeliningDeadlineTest.java
@@ -4,9 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderscale.Api;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Guards against requests that are given too much time because they waited behind others of their connection. */
 class PipeliningDeadlineTest {
@@ -75,6 +78,34 @@
         }
     }
 
+    /** Commands behind 64 open ones were decoded in the last moments of a stop only, and some got no reply. */
+    @Test
+    void aStopAnswersManyCommandsBufferedBehindOpenOnes(@TempDir Path directory) throws Exception {
+        int commands = 10_000;
+        try (BalancerFixture fixture = new BalancerFixture(FakeHost.responding(command -> null))) {
+            fixture.requestDeadlineMs = 1_000;
+            try (BalancerProcess process = new BalancerProcess(directory, fixture, null).startAndAwaitServing()) {
+                List<LineSocket> clients = new ArrayList<>();
+                for (int c = 0; c < 4; c++) {
+                    clients.add(process.connectClient().write(reads("", commands, TIMEOUT_MS)));
+                }
+                for (int i = 0; i < WINDOW; i++) {
+                    assertTrue(fixture.hosts.get(0).awaitCommand() != null);
+                }
+                process.sendSignal("TERM");
+                for (LineSocket client : clients) {
+                    for (int i = 0; i < commands; i++) {
+                        String reply = client.readLine();
+                        assertTrue(reply != null && reply.startsWith("SERVER_ERROR "), "command " + i + ": " + reply);
+                    }
+                    assertEquals(null, client.readLine());
+                    client.close();
+                }
+                assertEquals(0, process.awaitExit());
+            }
+        }
+    }
+
     /** Case 3: commands behind 64 open ones got their whole time anew when these had ended. */
     @Test
     void timeOfABufferedCommandRunsFromItsArrival() throws Exception {
