Go on decoding behind a value for which there is no memory

Found by a test of the memory budget, before any caller saw it: a value that found no room ended its connection, as the decoder reported the dropped value without taking any input, which Netty treats as an error.

LimitsTest.valuesWithoutMemoryAreAnsweredAndLaterCommandsServed before: end of the stream in place of the refusal; now passes. With it come tests of the choice of what is given up, and of clients that send many commands and read nothing.

--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -252,7 +252,8 @@
     private void decodeData(ByteBuf in, List<Object> out) {
         int count = Math.min(dataLength - dataBytesRead, in.readableBytes());
         if (!ensureDataCapacity(dataBytesRead + count)) {
-            dropData(out);
+            in.skipBytes(count);
+            dropData(dataBytesRead + count, out);
             return;
         }
         in.readBytes(data, dataBytesRead, count);
@@ -292,9 +293,9 @@
         }
     }
 
-    /** Discards a data block for which there is no memory, as it arrives. */
-    private void dropData(List<Object> out) {
-        bytesToDiscard = (long) dataLength - dataBytesRead + CRLF_BYTES;
+    /** Discards a data block for which there is no memory; the rest of it, behind {@code bytesRead}, as it arrives. */
+    private void dropData(int bytesRead, List<Object> out) {
+        bytesToDiscard = (long) dataLength - bytesRead + CRLF_BYTES;
         releaseData();
         out.add(MetaFrame.valueDropped(dataLineTokens));
     }
--- a/src/test/java/eiderscale/net/BalancerFixture.java
+++ b/src/test/java/eiderscale/net/BalancerFixture.java
@@ -69,6 +69,8 @@
     boolean mayCancelAttempts = true;
     /** Address of discovery; by default one where nothing listens. */
     String discoveryEndpoint = "127.0.0.1:1";
+    /** Memory that the balancer holds for its peers at most, in bytes. */
+    long memoryBudgetBytes = 20L * 1024 * 1024;
     Balancer.ModuleFactory moduleFactory = Router::new;
     /** The running balancer, null until {@link #start}. */
     Node node;
@@ -114,7 +116,8 @@
         eventLoopGroup = new NioEventLoopGroup(1);
         eventLoop = eventLoopGroup.next();
         Config config = Config.parse(Json.parse(configJson("127.0.0.1:0").getBytes(StandardCharsets.UTF_8)));
-        node = eventLoop.submit(() -> new Node(config, eventLoop, moduleFactory)).get();
+        node = eventLoop.submit(() -> new Node(config, eventLoop, moduleFactory,
+                new MemoryBudget(memoryBudgetBytes))).get();
         listenAddress =
                 (InetSocketAddress) eventLoop.submit(node::startListening).get().sync().channel().localAddress();
         return this;
--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -160,6 +160,67 @@
         }
     }
 
+    /** A value for which there is no memory must neither end its connection nor leave its command without a reply. */
+    @Test
+    void valuesWithoutMemoryAreAnsweredAndLaterCommandsServed() throws Exception {
+        String value = "v".repeat(60_000);
+        FakeHost host = FakeHost.responding(command -> command.startsWith("mg long")
+                ? FakeHost.valueResponse(command, value) : FakeHost.responseTo(command));
+        try (BalancerFixture fixture = new BalancerFixture(host)) {
+            fixture.memoryBudgetBytes = value.length() / 2;
+            fixture.start();
+            try (LineSocket client = fixture.connectClient()) {
+                assertEquals("SERVER_ERROR failed", client.request("mg long v O1 Pc=read,t=acme,d=5000"));
+                assertEquals("SERVER_ERROR busy", client.request("ms 1 60000 O1 Pc=copy,t=acme,d=5000\r\n" + value));
+                for (int i = 0; i < 3; i++) {
+                    assertEquals("HD O2 c77", client.request(BalancerFixture.NON_IDEMPOTENT_WRITE));
+                    assertEquals("VA 16 O1", client.request(BalancerFixture.READ));
+                    client.readData(16);
+                }
+                ServingTest.awaitGauges(fixture, " held-kb 0 ");
+            }
+        }
+    }
+
+    /**
+     * Clients that send many commands, read nothing and leave must not use up the memory for good, and others must be
+     * served meanwhile.
+     */
+    @Test
+    void memoryOfClientsThatReadNothingIsBoundedAndFreedWhenTheyLeave() throws Exception {
+        String value = "v".repeat(60_000);
+        FakeHost host = FakeHost.responding(command -> FakeHost.valueResponse(command, value));
+        List<LineSocket> clients = new ArrayList<>();
+        try (BalancerFixture fixture = new BalancerFixture(host)) {
+            fixture.memoryBudgetBytes = 20L * value.length();
+            fixture.start();
+            for (int i = 0; i < 30; i++) {
+                LineSocket client = fixture.connectClientWithSmallBuffer();
+                clients.add(client);
+                for (int j = 0; j < 100; j++) {
+                    client.write("mg 1 v O" + j + " Pc=read,t=acme,d=9000\r\n");
+                }
+            }
+            try (LineSocket client = fixture.connectClient()) {
+                for (int i = 0; i < 20; i++) {
+                    String reply = client.request(BalancerFixture.READ);
+                    assertTrue(reply.equals("VA 60000 O1") || reply.equals("SERVER_ERROR failed"), reply);
+                    if (reply.startsWith("VA")) {
+                        assertEquals(value, client.readData(value.length()));
+                    }
+                }
+            }
+            for (LineSocket client : clients) {
+                client.close();
+            }
+            ServingTest.awaitGauges(fixture, " held-kb 0 ");
+        } finally {
+            for (LineSocket client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Replies to a client that reads none must not accumulate without bound, and other clients must be served. */
     @Test
     void balancerStopsReadingFromAClientThatDoesNotReadReplies() throws Exception {
--- /dev/null
+++ b/src/test/java/eiderscale/net/ReplyQueueTest.java
@@ -0,0 +1,85 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against wrong choices of what to give up when there is no memory, and against leaks in its account. */
+class ReplyQueueTest {
+    private static final int VALUE_BYTES = 20_000;
+    private static final byte[] VALUE = "v".repeat(VALUE_BYTES).getBytes(StandardCharsets.ISO_8859_1);
+    private final MemoryBudget budget = new MemoryBudget(100_000);
+    private final ReplyMemory memory = new ReplyMemory(budget);
+
+    /** A queue on a channel of its own. */
+    private final class Client {
+        final EmbeddedChannel channel = new EmbeddedChannel();
+        final ReplyQueue queue = new ReplyQueue(channel, memory, new Counters(), () -> { });
+
+        PendingReply addRead() {
+            return queue.add(new MetaFrame(List.of("mg", "1"), null, null), 0);
+        }
+
+        void completeRead(PendingReply pending) {
+            pending.reply("VA 20000 O1\r\n", VALUE);
+        }
+
+        String written() {
+            queue.write();
+            StringBuilder text = new StringBuilder();
+            for (ByteBuf piece = channel.readOutbound(); piece != null; piece = channel.readOutbound()) {
+                text.append(piece.toString(StandardCharsets.ISO_8859_1));
+                piece.release();
+            }
+            return text.toString();
+        }
+    }
+
+    @Test
+    void theLastWaitingValueOfTheLargestHolderIsGivenUp() {
+        Client small = new Client();
+        Client large = new Client();
+        PendingReply smallHead = small.addRead();
+        small.completeRead(small.addRead());
+        PendingReply largeHead = large.addRead();
+        large.completeRead(large.addRead());
+        large.completeRead(large.addRead());
+        assertTrue(budget.tryReserve(50_000), "after one value was given up");
+        large.completeRead(largeHead);
+        small.completeRead(smallHead);
+        String value = "VA 20000 O1\r\n" + "v".repeat(VALUE_BYTES) + "\r\n";
+        assertEquals(value + value, small.written());
+        assertEquals(value + value + "SERVER_ERROR failed\r\n", large.written());
+        assertEquals(50_000, budget.usedBytes());
+    }
+
+    /** A reply that can be written is not given up: giving up values must not fail what is being served. */
+    @Test
+    void theReplyAtTheHeadIsKept() {
+        Client client = new Client();
+        client.completeRead(client.addRead());
+        assertFalse(budget.tryReserve(90_000));
+        assertTrue(client.written().startsWith("VA 20000 "));
+    }
+
+    @Test
+    void aLongReplyIsWrittenInPiecesAndRejectionsShareAnEntry() {
+        Client client = new Client();
+        PendingReply read = client.addRead();
+        client.queue.reject();
+        client.queue.reject();
+        assertEquals(2, client.queue.size());
+        assertEquals("", client.written(), "the first command is in progress");
+        client.completeRead(read);
+        assertEquals("VA 20000 O1\r\n" + "v".repeat(VALUE_BYTES) + "\r\nSERVER_ERROR busy\r\nSERVER_ERROR busy\r\n",
+                client.written());
+        assertTrue(client.queue.isEmpty());
+        assertEquals(0, budget.usedBytes());
+    }
+}
