Keep undecoded input on the heap, at its size, and within the memory budget

What is left undecoded after a read is copied to a heap buffer of its size, and counts with its capacity in the memory budget.

MetaDecoderMemoryTest: before, the read buffer was still referenced after a read that left one byte; now it is released. The other tests cover values that grow as they arrive, and what is dropped or closed half-way.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -36,6 +36,8 @@
     private static final long MAX_TOTAL_BUFFERED_BYTES = 4L * 1024 * 1024;
     /** Undecoded input that a connection may buffer even while the total is exceeded. */
     private static final int MIN_BUFFER_BYTES_PER_CONNECTION = 32 * 1024;
+    /** Undecoded input that a connection may buffer even while the memory is used up. */
+    private static final int MIN_BUFFER_BYTES_WITHOUT_MEMORY = 4 * 1024;
     /**
      * Maximum rejections queued on a connection to reduce its buffered input. Above it, no more are added, and as long
      * as the input exceeds its limit the connection is not read from.
@@ -457,6 +459,9 @@
 
         /** Whether this connection buffers too much undecoded input, by itself or while the total is over its limit. */
         private boolean isBufferLimitExceeded() {
+            if (!replyMemory.hasRoomForInput()) {
+                return decoder.bufferedBytes() > MIN_BUFFER_BYTES_WITHOUT_MEMORY;
+            }
             return decoder.isBufferFull() || totalBufferedBytes > MAX_TOTAL_BUFFERED_BYTES
                     && decoder.bufferedBytes() > MIN_BUFFER_BYTES_PER_CONNECTION;
         }
@@ -467,7 +472,7 @@
         }
 
         private boolean mayQueueRejection() {
-            return replies.rejectionBytes() < MAX_REJECTION_BYTES && replyMemory.hasRoomForRejections();
+            return replies.rejectionBytes() < MAX_REJECTION_BYTES && replyMemory.hasRoomForInput();
         }
 
         private void updateBufferedBytes(int bytes) {
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -27,6 +27,9 @@
     /** Maximum number of digits of a data block's length, so that it fits an int. */
     private static final int MAX_LENGTH_DIGITS = 9;
     private static final int CRLF_BYTES = 2;
+    /** Capacity of the smallest buffer for undecoded input. */
+    private static final int MIN_UNDECODED_CAPACITY = 64;
+    private static final Cumulator HEAP_CUMULATOR = (alloc, undecoded, input) -> appendOnHeap(undecoded, input);
     private static final byte[] EMPTY_DATA = new byte[0];
     private static final String BAD_DATA_CHUNK = "CLIENT_ERROR bad data chunk";
 
@@ -55,6 +58,37 @@
         this.lengthIndex = lengthIndex;
         this.memoryBudget = memoryBudget;
         this.receiveClock = receiveClock;
+        setCumulator(HEAP_CUMULATOR);
+    }
+
+    /**
+     * Appends input to what is left undecoded. That is copied to a heap buffer of its size: a read buffer is up to 64 KiB
+     * of direct memory, which a peer could take up with a few bytes.
+     */
+    private static ByteBuf appendOnHeap(ByteBuf undecoded, ByteBuf input) {
+        if (!undecoded.isReadable() && input.isReadable()) {
+            undecoded.release();
+            return input;
+        }
+        try {
+            int length = undecoded.readableBytes() + input.readableBytes();
+            ByteBuf target = undecoded.hasArray() && undecoded.maxWritableBytes() >= input.readableBytes()
+                    && undecoded.capacity() <= 2 * length ? undecoded.discardReadBytes() : newHeapBuffer(length);
+            if (target != undecoded) {
+                target.writeBytes(undecoded);
+                undecoded.release();
+            }
+            return target.writeBytes(input);
+        } catch (OutOfMemoryError e) {
+            // Not an Error: after lost input the stream cannot be decoded any more, and the connection has to end.
+            throw new IllegalStateException("no memory for input", e);
+        } finally {
+            input.release();
+        }
+    }
+
+    private static ByteBuf newHeapBuffer(int length) {
+        return Unpooled.buffer(Math.max(MIN_UNDECODED_CAPACITY, length));
     }
 
     /**
@@ -126,9 +160,18 @@
         return bufferedBytes() > MAX_BUFFERED_BYTES;
     }
 
-    /** Returns the number of undecoded bytes buffered while paused; 0 in other modes. */
+    /** Returns the memory that undecoded input takes up while paused, in bytes; 0 in other modes. */
     int bufferedBytes() {
-        return mode == Mode.PAUSED ? actualReadableBytes() : 0;
+        return mode == Mode.PAUSED ? internalBuffer().capacity() : 0;
+    }
+
+    /** Releases the read buffer, of which little may be left undecoded, before the read is complete. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (actualReadableBytes() > 0 && !internalBuffer().hasArray()) {
+            super.channelRead(ctx, Unpooled.EMPTY_BUFFER);
+        }
+        super.channelReadComplete(ctx);
     }
 
     /** Whether a frame, valid or not, has begun to arrive and is not complete. */
