Look at the limits of buffered input while it is read

The limits of input were looked at only after a read, and all connections of one turn of the loop read up to 512 KiB each before that.

Now they are looked at with each buffer that is read while decoding is paused, and reading stops within the read.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -194,7 +194,7 @@
     /** One client connection; also the last handler of its channel's pipeline. */
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
         private final RetryingSocketChannel channel;
-        final MetaDecoder decoder = MetaDecoder.forCommands(memoryBudget, this::receivedAt);
+        final MetaDecoder decoder = MetaDecoder.forCommands(memoryBudget, this::receivedAt, this::onInputBuffered);
         /** One entry per command, in the order of arrival. */
         private final ReplyQueue replies;
         /** Entries for the commands of the current read, which are processed once it is complete. */
@@ -475,6 +475,14 @@
             return replies.rejectionBytes() < MAX_REJECTION_BYTES && replyMemory.hasRoomForInput();
         }
 
+        /** Stops reading at the limits, within a read already: many connections may have much input at once. */
+        private void onInputBuffered() {
+            updateBufferedBytes(decoder.bufferedBytes());
+            if (isBufferLimitExceeded()) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
         private void updateBufferedBytes(int bytes) {
             totalBufferedBytes += bytes - countedBufferedBytes;
             memoryBudget.add(bytes - countedBufferedBytes);
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -40,6 +40,7 @@
     /** Where the memory of {@link #data} is reserved until the block is complete. */
     private final MemoryBudget memoryBudget;
     private final LongSupplier receiveClock;
+    private final Runnable bufferListener;
     private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     /** The line that announced the data block being read. */
     private List<String> dataLineTokens;
@@ -53,11 +54,13 @@
     private boolean isDiscardingLine;
     private Mode mode = Mode.DECODING;
 
-    private MetaDecoder(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget, LongSupplier receiveClock) {
+    private MetaDecoder(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget, LongSupplier receiveClock,
+                        Runnable bufferListener) {
         this.dataKeyword = dataKeyword;
         this.lengthIndex = lengthIndex;
         this.memoryBudget = memoryBudget;
         this.receiveClock = receiveClock;
+        this.bufferListener = bufferListener;
         setCumulator(HEAP_CUMULATOR);
     }
 
@@ -95,14 +98,15 @@
      * Returns a decoder of client commands, of which {@code ms} has a data block.
      *
      * @param receiveClock called on each read; returns when its bytes were received, see {@link #frameReceivedAt}
+     * @param bufferListener called when input was buffered undecoded; may stop reading
      */
-    static MetaDecoder forCommands(MemoryBudget memoryBudget, LongSupplier receiveClock) {
-        return new MetaDecoder("ms", 2, memoryBudget, receiveClock);
+    static MetaDecoder forCommands(MemoryBudget memoryBudget, LongSupplier receiveClock, Runnable bufferListener) {
+        return new MetaDecoder("ms", 2, memoryBudget, receiveClock, bufferListener);
     }
 
     /** Returns a decoder of cache host responses, of which {@code VA} has a data block. */
     static MetaDecoder forResponses(MemoryBudget memoryBudget) {
-        return new MetaDecoder("VA", 1, memoryBudget, Clock::now);
+        return new MetaDecoder("VA", 1, memoryBudget, Clock::now, () -> { });
     }
 
     private enum Mode {
@@ -116,7 +120,7 @@
         DISCARDING
     }
 
-    /** Pauses decoding: further input is buffered undecoded. Reading continues up to {@link #MAX_BUFFERED_BYTES}. */
+    /** Pauses decoding: further input is buffered undecoded, and reading continues. */
     void pause() {
         mode = mode == Mode.DECODING ? Mode.PAUSED : mode;
     }
@@ -196,6 +200,9 @@
             arrivalTimes.onReceived(bytes.readableBytes(), receiveClock.getAsLong());
         }
         super.channelRead(ctx, message);
+        if (mode == Mode.PAUSED) {
+            bufferListener.run();
+        }
     }
 
     @Override
@@ -205,9 +212,6 @@
             return;
         }
         if (mode == Mode.PAUSED) {
-            if (isBufferFull()) {
-                ctx.channel().config().setAutoRead(false);
-            }
             return;
         }
         int frameStart = in.readerIndex();
--- a/src/test/java/eiderscale/net/FakeHost.java
+++ b/src/test/java/eiderscale/net/FakeHost.java
@@ -53,11 +53,11 @@
         });
     }
 
-    private interface IoTask {
+    interface IoTask {
         void run() throws IOException;
     }
 
-    private static Thread startThread(IoTask task) {
+    static Thread startThread(IoTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
--- a/src/test/java/eiderscale/net/MetaDecoderMemoryTest.java
+++ b/src/test/java/eiderscale/net/MetaDecoderMemoryTest.java
@@ -14,7 +14,7 @@
 /** Guards against memory that peers can take up with little input, and against leaks in its account. */
 class MetaDecoderMemoryTest {
     private final MemoryBudget budget = new MemoryBudget(100_000);
-    private final MetaDecoder decoder = MetaDecoder.forCommands(budget, Clock::now);
+    private final MetaDecoder decoder = MetaDecoder.forCommands(budget, Clock::now, () -> { });
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
 
     private static ByteBuf directBuffer(String text) {
--- a/src/test/java/eiderscale/net/PipeliningMemoryTest.java
+++ b/src/test/java/eiderscale/net/PipeliningMemoryTest.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -69,6 +70,33 @@
         }
     }
 
+    /** Undecoded input of many clients at once used up the memory before its limits were looked at. */
+    @Test
+    void bufferedInputLeavesMemoryForOtherClients(@TempDir Path directory) throws Exception {
+        List<LineSocket> clients = new ArrayList<>();
+        String commands = "ms 1 5 Ow Pc=put,t=acme,d=9000,k=1\r\nhello\r\n"
+                + "mg 1 v O1 Pc=read,t=acme,d=9000\r\n".repeat(15_000);
+        try (BalancerFixture fixture = newFixture();
+                BalancerProcess process = new BalancerProcess(directory, fixture, null).startAndAwaitServing()) {
+            for (int i = 0; i < 100; i++) {
+                LineSocket client = process.connectClient();
+                clients.add(client);
+                FakeHost.startThread(() -> client.write(commands));
+            }
+            for (int i = 0; i < SINGLE_REQUESTS; i++) {
+                try (LineSocket single = process.connectClient()) {
+                    assertEquals("VA " + VALUE_BYTES + " O1", single.request(BalancerFixture.READ));
+                    assertEquals(VALUE, single.readData(VALUE_BYTES));
+                }
+            }
+            assertFalse(process.hasLogged("OutOfMemoryError"), "" + process.log());
+        } finally {
+            for (LineSocket client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Case 2: connections of clients that read were closed once the replies of all had exceeded a limit together. */
     @Test
     void clientsThatReadGetAllRepliesHoweverManyWaited(@TempDir Path directory) throws Exception {
