--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -221,6 +221,25 @@
         }
     }
 
+    /** Clients that never read must not hold the memory of others for as long as they please. */
+    @Test
+    void clientThatReadsNothingIsDisconnectedWhileMemoryIsScarce() throws Exception {
+        String value = "v".repeat(60_000);
+        FakeHost host = FakeHost.responding(command -> FakeHost.valueResponse(command, value));
+        try (BalancerFixture fixture = new BalancerFixture(host)) {
+            fixture.memoryBudgetBytes = 8L * value.length();
+            fixture.start();
+            try (LineSocket client = fixture.connectClientWithSmallBuffer()) {
+                for (int i = 0; i < 200; i++) {
+                    client.write("mg 1 v O" + i + " Pc=read,t=acme,d=9000\r\n");
+                }
+                ServingTest.awaitGauges(fixture, "clients 1 ");
+                ServingTest.awaitGauges(fixture, "clients 0 ");
+                ServingTest.awaitGauges(fixture, " held-kb 0 ");
+            }
+        }
+    }
+
     /** Replies to a client that reads none must not accumulate without bound, and other clients must be served. */
     @Test
     void balancerStopsReadingFromAClientThatDoesNotReadReplies() throws Exception {
