Bound open requests by their memory as well as by their number

Each open request counts with 1 KiB in the memory budget; without room it is refused, as with too many. Pipelined commands wait before that.

LimitsTest.openRequestsWithoutMemoryAreRefusedAndLaterOnesServed before: the request beyond the memory was held until its deadline and failed; now it is refused at once.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -30,6 +30,8 @@
     /** How long after its deadline a request that the module has left open gets a reply without the module. */
     private static final long OVERDUE_REPLY_DELAY_NS = Clock.MILLISECOND;
     private static final long REPLY_RETRY_DELAY_MS = 5;
+    /** Heap memory of a request without its value, in bytes: its command, attempts and timers, also in the module. */
+    private static final int REQUEST_BYTES = 1024;
     /** Maximum total size of the values of the requests in memory; the heap has room for a few times as much. */
     private static final long MAX_HELD_VALUE_BYTES = 8L * 1024 * 1024;
 
@@ -104,9 +106,8 @@
             replyRefused(exchange, 0);
             return exchange;
         }
-        int valueBytes = valueBytes(command);
         // Without room the request is refused, which is safe as no attempt was sent.
-        if (openRequests >= site.maxOpenRequests || valueBytes > 0 && !tryHoldValue(valueBytes)) {
+        if (openRequests >= site.maxOpenRequests || !tryHold(command)) {
             counters.localRefusals++;
             replyRefused(exchange, 0);
             return exchange;
@@ -132,15 +133,22 @@
         dispatch(exchange, () -> decisionModule.onRequest(Clock.now(), request));
     }
 
-    /** Reserves memory for the value of a request; returns false if there is none. */
-    private boolean tryHoldValue(int bytes) {
-        if (heldValueBytes + bytes > MAX_HELD_VALUE_BYTES || !memoryBudget.tryReserve(bytes)) {
+    /** Reserves memory for a request and its value; returns false if there is none. */
+    private boolean tryHold(Command command) {
+        int valueBytes = valueBytes(command);
+        if (valueBytes > 0 && heldValueBytes + valueBytes > MAX_HELD_VALUE_BYTES
+                || !memoryBudget.tryReserve(REQUEST_BYTES + valueBytes)) {
             return false;
         }
-        heldValueBytes += bytes;
+        heldValueBytes += valueBytes;
         return true;
     }
 
+    private void releaseHeld(Command command) {
+        heldValueBytes -= valueBytes(command);
+        memoryBudget.release(REQUEST_BYTES + valueBytes(command));
+    }
+
     private static int valueBytes(Command command) {
         return command.value == null ? 0 : command.value.length;
     }
@@ -240,8 +248,7 @@
     /** Removes a closed request once all its attempts have had their outcome. */
     private void removeIfFinished(Exchange exchange) {
         if (exchange.isClosed && exchange.pendingAttempts == 0 && exchanges.remove(exchange.id) != null) {
-            heldValueBytes -= valueBytes(exchange.command);
-            memoryBudget.release(valueBytes(exchange.command));
+            releaseHeld(exchange.command);
         }
     }
 
--- a/src/main/java/eiderscale/net/MemoryBudget.java
+++ b/src/main/java/eiderscale/net/MemoryBudget.java
@@ -1,7 +1,7 @@
 package eiderscale.net;
 
 /**
- * The heap memory that peers make this process hold, in bytes: undecoded input, values of requests and responses, and
+ * The heap memory that peers make this process hold, in bytes: undecoded input, requests, values being read, and
  * replies that wait for earlier ones or for their client to read. Each part adds what it holds and releases it again.
  * All methods must be called on the event loop.
  */
--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -221,20 +222,59 @@
         }
     }
 
+    /** Open requests were bounded in number only, by a limit of the site that may be beyond the memory. */
+    @Test
+    void openRequestsWithoutMemoryAreRefusedAndLaterOnesServed() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        FakeHost host = FakeHost.responding(command -> FakeHost.responseAfter(released, command));
+        List<LineSocket> clients = new ArrayList<>();
+        try (BalancerFixture fixture = new BalancerFixture(host)) {
+            fixture.memoryBudgetBytes = 10 * 1024;
+            fixture.start();
+            for (int i = 0; i < 20; i++) {
+                clients.add(fixture.connectClient().write(BalancerFixture.NON_IDEMPOTENT_WRITE + "\r\n"));
+            }
+            assertEquals("SERVER_ERROR busy", clients.get(19).readLine());
+            released.countDown();
+            assertEquals("HD O2 c77", clients.get(0).readLine());
+            ServingTest.awaitGauges(fixture, " held-kb 0 ");
+            assertEquals("HD O2 c77", clients.get(19).request(BalancerFixture.NON_IDEMPOTENT_WRITE));
+        } finally {
+            for (LineSocket client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Clients that never read must not hold the memory of others for as long as they please. */
     @Test
     void clientThatReadsNothingIsDisconnectedWhileMemoryIsScarce() throws Exception {
+        int writes = 10;
         String value = "v".repeat(60_000);
-        FakeHost host = FakeHost.responding(command -> FakeHost.valueResponse(command, value));
+        CountDownLatch writesReleased = new CountDownLatch(1);
+        FakeHost host = FakeHost.responding(command -> command.startsWith("mg")
+                ? FakeHost.valueResponse(command, value) : FakeHost.responseAfter(writesReleased, command));
         try (BalancerFixture fixture = new BalancerFixture(host)) {
-            fixture.memoryBudgetBytes = 8L * value.length();
+            fixture.requestDeadlineMs = 60_000;
+            fixture.memoryBudgetBytes = 16L * value.length();
             fixture.start();
-            try (LineSocket client = fixture.connectClientWithSmallBuffer()) {
-                for (int i = 0; i < 200; i++) {
-                    client.write("mg 1 v O" + i + " Pc=read,t=acme,d=9000\r\n");
+            try (LineSocket holder = fixture.connectClient();
+                    LineSocket client = fixture.connectClientWithSmallBuffer()) {
+                for (int i = 0; i < writes; i++) {
+                    holder.write("ms 1 60000 O" + i + " Pc=copy,t=acme,d=60000\r\n" + value + "\r\n");
+                }
+                for (int i = 0; i < writes; i++) {
+                    assertTrue(host.awaitCommand() != null); // From now on memory is scarce.
                 }
+                for (int i = 0; i < 500; i++) {
+                    client.write("mg 1 v O" + i + " Pc=read,t=acme,d=60000\r\n");
+                }
+                ServingTest.awaitGauges(fixture, "clients 2 ");
                 ServingTest.awaitGauges(fixture, "clients 1 ");
-                ServingTest.awaitGauges(fixture, "clients 0 ");
+                writesReleased.countDown();
+                for (int i = 0; i < writes; i++) {
+                    assertEquals("HD O" + i + " c77", holder.readLine(), "the client that reads is kept");
+                }
                 ServingTest.awaitGauges(fixture, " held-kb 0 ");
             }
         }
