Pause a draining connection's decoding when its rejections reach their limit

From reading: the limit was looked at only for commands that take an entry of their own, so that a client that goes on sending while its connection drains could queue rejections without bound.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -333,9 +333,9 @@
             hasReceivedFrame = true;
             if (decoder.isRejecting() && !frame.tokenIs(0, "quit") || state == State.DRAINING && frame.isRequest()) {
                 reject(frame);
-                return;
+            } else {
+                readBatch.add(replies.add(frame, decoder.frameReceivedAt()));
             }
-            readBatch.add(replies.add(frame, decoder.frameReceivedAt()));
             if (isWindowFull()) {
                 decoder.pause();
             }
