--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/src/main/java/eiderscale/net/MetaFrame.java
@@ -7,8 +7,8 @@
  *
  * @param tokens the line, split at spaces; empty after a protocol error, else at least one token
  * @param data the data block without its CRLF, null if there is none
- * @param protocolError the error reply for the sender, without CRLF, if the input was invalid or there was no memory for
- *         the data block; else null
+ * @param protocolError the error reply for the sender, without CRLF, if the input was invalid or there was no memory
+ *         for the data block; else null
  */
 record MetaFrame(List<String> tokens, byte[] data, String protocolError) {
     /** Maximum size of a data block. */
