--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -234,7 +234,8 @@
         try {
             event.moduleCall.run();
         } catch (Throwable e) {
-            // Whatever fails, also for lack of memory, must not affect other requests, nor leave this one without a reply.
+            // Whatever fails, also for lack of memory, must not affect other requests, nor leave this one without a
+            // reply.
             Counters.log("unexpected exception while delivering an event to the decision module", e);
             if (event.exchange != null) {
                 tryReplyWithoutModule(event.exchange);
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Appends input to what is left undecoded. That is copied to a heap buffer of its size: a read buffer is up to 64 KiB
-     * of direct memory, which a peer could take up with a few bytes.
+     * Appends input to what is left undecoded. That is copied to a heap buffer of its size: a read buffer is up to
+     * 64 KiB of direct memory, which a peer could take up with a few bytes.
      */
     private static ByteBuf appendOnHeap(ByteBuf undecoded, ByteBuf input) {
         if (!undecoded.isReadable() && input.isReadable()) {
@@ -320,8 +320,8 @@
     }
 
     /**
-     * Makes room for the first {@code bytes} bytes of the data block. It grows by doubling, so that a peer has to send a
-     * value to make it held. Returns false if there is no memory.
+     * Makes room for the first {@code bytes} bytes of the data block. It grows by doubling, so that a peer has to send
+     * a value to make it held. Returns false if there is no memory.
      */
     private boolean ensureDataCapacity(int bytes) {
         if (bytes <= data.length) {
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -68,7 +68,9 @@
         return clientServer.listen(config.listenAddress());
     }
 
-    /** Periodic work: closes expired and stalled connections, and logs the metrics regularly and soon after a problem. */
+    /**
+     * Periodic work: closes expired and stalled connections, and logs the metrics regularly and soon after a problem.
+     */
     private void sweep() {
         try {
             balancer.evictExpiredConnections();
