--- a/src/main/java/eiderscale/net/RetryingSocketChannel.java
+++ b/src/main/java/eiderscale/net/RetryingSocketChannel.java
@@ -15,7 +15,8 @@
 /**
  * A TCP connection that survives transient failures of system calls: interruption by a signal (EINTR), lack of memory
  * (ENOMEM, ENOBUFS, also that of this process while writing), and errors that only this end sees (ETIMEDOUT,
- * EHOSTUNREACH). A broken connection reports its error once and the end of the stream on the next read, so a second read distinguishes it from a transient failure.
+ * EHOSTUNREACH). A broken connection reports its error once and the end of the stream on the next read, so a second
+ * read distinguishes it from a transient failure.
  */
 class RetryingSocketChannel extends NioSocketChannel {
     /** What a read returns at the end of the stream; the JDK returns a lower value for an interrupted call. */
