Shrink the buffer of undecoded input when its input was decoded

A buffer of 1 MiB with a few bytes left in it still counted as full, so that each later command was rejected, until 256 KiB of rejections stopped reading. How the flood was cut into reads decided whether the buffer grew so far.

The buffer is moved to one of its size after each decoding and each read, if it is more than twice as large.

MetaDecoderMemoryTest.bufferShrinksWhenItsInputWasDecoded before: 1,048,576 bytes counted for two left over; now at most 128.

--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -76,7 +76,7 @@
         try {
             int length = undecoded.readableBytes() + input.readableBytes();
             ByteBuf target = undecoded.hasArray() && undecoded.maxWritableBytes() >= input.readableBytes()
-                    && undecoded.capacity() <= 2 * length ? undecoded.discardReadBytes() : newHeapBuffer(length);
+                    && !isOversized(undecoded, length) ? undecoded.discardReadBytes() : newHeapBuffer(length);
             if (target != undecoded) {
                 target.writeBytes(undecoded);
                 undecoded.release();
@@ -90,6 +90,10 @@
         }
     }
 
+    private static boolean isOversized(ByteBuf buffer, int length) {
+        return buffer.capacity() > 2 * Math.max(MIN_UNDECODED_CAPACITY, length);
+    }
+
     private static ByteBuf newHeapBuffer(int length) {
         return Unpooled.buffer(Math.max(MIN_UNDECODED_CAPACITY, length));
     }
@@ -133,6 +137,7 @@
     void resume(ChannelHandlerContext ctx) throws Exception {
         mode = mode == Mode.PAUSED ? Mode.DECODING : mode;
         channelRead(ctx, Unpooled.EMPTY_BUFFER);
+        shrinkBuffer(ctx);
     }
 
     /** Decodes the buffered input within this call, for its frames to be rejected; then stays paused. */
@@ -143,6 +148,7 @@
         } finally {
             mode = mode == Mode.REJECTING ? Mode.PAUSED : mode;
         }
+        shrinkBuffer(ctx);
     }
 
     /** Whether the frames that are being emitted are to be rejected. */
@@ -172,10 +178,16 @@
     /** Releases the read buffer, of which little may be left undecoded, before the read is complete. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-        if (actualReadableBytes() > 0 && !internalBuffer().hasArray()) {
+        shrinkBuffer(ctx);
+        super.channelReadComplete(ctx);
+    }
+
+    /** Moves the undecoded input to a buffer of its size if it is in a read buffer or a much larger one. */
+    private void shrinkBuffer(ChannelHandlerContext ctx) throws Exception {
+        int length = actualReadableBytes();
+        if (length > 0 && (!internalBuffer().hasArray() || isOversized(internalBuffer(), length))) {
             super.channelRead(ctx, Unpooled.EMPTY_BUFFER);
         }
-        super.channelReadComplete(ctx);
     }
 
     /** Whether a frame, valid or not, has begun to arrive and is not complete. */
--- a/src/test/java/eiderscale/net/MetaDecoderMemoryTest.java
+++ b/src/test/java/eiderscale/net/MetaDecoderMemoryTest.java
@@ -57,6 +57,20 @@
         }
     }
 
+    /** A large buffer with little left in it counted as full, so that all later commands were rejected. */
+    @Test
+    void bufferShrinksWhenItsInputWasDecoded() throws Exception {
+        decoder.pause();
+        for (int i = 0; i < 10; i++) {
+            channel.writeInbound(directBuffer("mn\r\n".repeat(15_000)));
+        }
+        assertTrue(decoder.isBufferFull());
+        channel.writeInbound(directBuffer("mg"));
+        decoder.decodeForRejection(channel.pipeline().firstContext());
+        assertTrue(decoder.bufferedBytes() <= 128, "" + decoder.bufferedBytes());
+        assertEquals(150_000, channel.inboundMessages().size());
+    }
+
     /** Announcing a long value, which costs a peer nothing, allocated its whole memory. */
     @Test
     void memoryOfAValueGrowsAsItArrives() {
