Do not count a connection as stalled from the epoch on

A connection whose first write had not progressed at its first check, as when write calls fail for a moment, counted as having read nothing since time 0, and was closed with answers owed if memory was scarce. The time now begins with the connection.

ReplyQueueTest.aWriteIsNotStalledBeforeItsTimeHasPassed failed before.

--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -49,8 +49,8 @@
     private long writtenBytes;
     /** The bytes written at the last call of {@link #lastProgressAt}. */
     private long lastSeenWrittenBytes;
-    /** The result of the last call of {@link #lastProgressAt}. */
-    private long lastProgressAt;
+    /** The result of the last call of {@link #lastProgressAt}; before, when the connection was accepted. */
+    private long lastProgressAt = Clock.now();
     /** Pieces passed to the channel but not yet written to the socket. */
     private int pendingChunks;
     private boolean isWriting;
--- a/src/test/java/eiderscale/net/ReplyQueueTest.java
+++ b/src/test/java/eiderscale/net/ReplyQueueTest.java
@@ -5,7 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -68,6 +72,23 @@
         assertTrue(client.written().startsWith("VA 20000 "));
     }
 
+    /** A connection counted as stalled at the first check if nothing of its first reply had been written until then. */
+    @Test
+    void aWriteIsNotStalledBeforeItsTimeHasPassed() {
+        long startedAt = Clock.now();
+        Client client = new Client();
+        client.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message); // The promise is never completed.
+            }
+        });
+        client.completeRead(client.addRead());
+        client.queue.write();
+        assertTrue(client.queue.isBeingWritten());
+        assertTrue(client.queue.lastProgressAt(Clock.now()) >= startedAt);
+    }
+
     @Test
     void aLongReplyIsWrittenInPiecesAndRejectionsShareAnEntry() {
         Client client = new Client();
