--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -161,9 +161,17 @@
         return String.format("%016x", 0x9b1f03aa00000000L + NEXT_ID.incrementAndGet());
     }
 
+    private static final String[] TENANTS = {"harbourline", "tolka-labs", "greenmount", "quayside-apps", "shannonbyte",
+        "millrace", "corrib-dev", "liffeyworks", "boglane"};
+
+    /** The tenant of a request: all tenants in turn. */
+    private static String tenant(String id) {
+        return TENANTS[(int) (Long.parseUnsignedLong(id, 16) & 0xffffff) % TENANTS.length];
+    }
+
     /** A read as a client sends it; its answer is due within {@code waitMs}. */
     static String read(String id, String key, long waitMs) {
-        return "mg " + key + " v O" + id + " Pc=query,t=harbourline,d=" + waitMs + "\r\n";
+        return "mg " + key + " v O" + id + " Pc=query,t=" + tenant(id) + ",d=" + waitMs + "\r\n";
     }
 
     // Cache hosts.
@@ -172,9 +180,15 @@
     record Attempt(double at, String host, String id, String line) {
     }
 
-    /** How long a host takes for a command, in ms, or what else it does with it. */
+    /** How a host serves commands. */
     interface Service {
+        /** Returns how long the host takes for a command, in ms. */
         long takesMs(String line);
+
+        /** Returns the value that the host has for a read. */
+        default String value(String line) {
+            return "hello";
+        }
     }
 
     /** All commands that all hosts got. */
@@ -215,8 +229,9 @@
                     attempts.add(new Attempt(now(), name, id, line));
                     Kit.record("host " + name + " runs " + line);
                     sleep(service.takesMs(line));
+                    String value = service.value(line);
                     out.write(bytes(words[0].equals("ms") ? "HD O" + id + " c77\r\n"
-                            : "VA 5 O" + id + " h1\r\nhello\r\n"));
+                            : "VA " + value.length() + " O" + id + " h1\r\n" + value + "\r\n"));
                 }
             }
         }
@@ -295,7 +310,15 @@
               "warm-within-ns":8100000000},
              "kinds":["gen3","gen2"],"load-report":{"fields":["q","fail_rate","x1"],"source":"none"},"my-zone":0,
              "n-instances":3,"over-share-worth":0.2,"rank":1,"stages":["search-cache"],
-             "tenants":[{"name":"harbourline","allowance-per-s":200.0,"fraction":1.0}],
+             "tenants":[{"name":"harbourline","allowance-per-s":30.0,"fraction":0.18},
+              {"name":"tolka-labs","allowance-per-s":23.0,"fraction":0.14},
+              {"name":"greenmount","allowance-per-s":23.0,"fraction":0.14},
+              {"name":"quayside-apps","allowance-per-s":20.0,"fraction":0.12},
+              {"name":"shannonbyte","allowance-per-s":18.0,"fraction":0.11},
+              {"name":"millrace","allowance-per-s":18.0,"fraction":0.11},
+              {"name":"corrib-dev","allowance-per-s":15.0,"fraction":0.09},
+              {"name":"liffeyworks","allowance-per-s":11.0,"fraction":0.07},
+              {"name":"boglane","allowance-per-s":7.0,"fraction":0.04}],
              "tick-ns":5000000,"tier":0,"weights":"nominal","workload":"cache","zones":["dublin","cork","galway"]}""";
 
     /** The real balancer, as a process of its own. */
@@ -349,7 +372,7 @@
         /** Copies the balancer's log, without its long lines of figures, to the record. */
         void recordLog() throws IOException {
             for (String line : Files.readAllLines(log, StandardCharsets.ISO_8859_1)) {
-                Matcher held = Pattern.compile("shed \\d+ held-kb \\d+").matcher(line);
+                Matcher held = Pattern.compile("shed \\d+ held-kb \\d+ dropped-values \\d+").matcher(line);
                 Kit.record("log: " + (line.contains(" taken ") && held.find() ? "... " + held.group() + " ..." : line));
             }
         }
@@ -408,8 +431,14 @@
         }
     }
 
+    /** A write as a client sends it; its answer is due within {@code waitMs}. */
+    static String write(String id, String key, String value, long waitMs) {
+        return "ms " + key + " " + value.length() + " O" + id + " Pc=index-push,t=" + tenant(id) + ",d=" + waitMs + ",k=" + id
+                + "\r\n" + value + "\r\n";
+    }
+
     /** Keeps the connections of the bad peers open. */
-    private static final List<Client> peers = new ArrayList<>();
+    static final List<Client> peers = new ArrayList<>();
 
     /**
      * A peer that sends one request and much right behind it that is no request, and reads nothing. Returns after a
