--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -185,6 +185,11 @@
         /** Returns how long the host takes for a command, in ms. */
         long takesMs(String line);
 
+        /** Whether the host resets the connection instead of serving the request; may wait before. */
+        default boolean resets(String id) {
+            return false;
+        }
+
         /** Returns the value that the host has for a read. */
         default String value(String line) {
             return "hello";
@@ -228,6 +233,11 @@
                     }
                     attempts.add(new Attempt(now(), name, id, line));
                     Kit.record("host " + name + " runs " + line);
+                    if (service.resets(id)) {
+                        Kit.record("host " + name + " resets the connection under " + id);
+                        socket.setSoLinger(true, 0);
+                        return;
+                    }
                     sleep(service.takesMs(line));
                     String value = service.value(line);
                     out.write(bytes(words[0].equals("ms") ? "HD O" + id + " c77\r\n"
