--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -333,6 +333,7 @@
 
     /** The real balancer, as a process of its own. */
     static final class Balancer {
+        private static final Pattern HELD = Pattern.compile("shed \\d+ held-kb \\d+ dropped-values \\d+");
         final int port;
         final Process process;
         private final Path log;
@@ -381,9 +382,24 @@
 
         /** Copies the balancer's log, without its long lines of figures, to the record. */
         void recordLog() throws IOException {
+            String last = "";
+            int repeated = 0;
             for (String line : Files.readAllLines(log, StandardCharsets.ISO_8859_1)) {
-                Matcher held = Pattern.compile("shed \\d+ held-kb \\d+ dropped-values \\d+").matcher(line);
-                Kit.record("log: " + (line.contains(" taken ") && held.find() ? "... " + held.group() + " ..." : line));
+                Matcher held = HELD.matcher(line);
+                String text = line.contains(" taken ") && held.find() ? "... " + held.group() + " ..." : line;
+                if (text.equals(last)) {
+                    repeated++;
+                    continue;
+                }
+                if (repeated > 0) {
+                    Kit.record("log: the same " + repeated + " times more");
+                }
+                Kit.record("log: " + text);
+                last = text;
+                repeated = 0;
+            }
+            if (repeated > 0) {
+                Kit.record("log: the same " + repeated + " times more");
             }
         }
     }
