--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -96,6 +96,7 @@
             String answer = null;
             for (int tries = 0; tries < 2 && answer == null; tries++) {
                 try {
+                    Kit.record("client " + number + " sends " + id);
                     connection.send(command);
                     answer = connection.readAnswer(LOST_AFTER_MS);
                 } catch (SocketTimeoutException e) {
@@ -113,6 +114,7 @@
                     connection = new Kit.Client(balancer.port);
                 }
             }
+            Kit.record("client " + number + " got " + answer + " for " + id);
             answered.addAndGet(answer == null ? 0 : 1);
             answeredAtEnd.addAndGet(answer == null || !isAtEnd ? 0 : 1);
             Kit.sleep(PAUSE_MS);
