--- a/src/main/java/eiderscale/net/ArrivalTimes.java
+++ b/src/main/java/eiderscale/net/ArrivalTimes.java
@@ -1,7 +1,6 @@
 package eiderscale.net;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Arrays;
 
 /**
  * Remembers when the bytes of a stream were received, from the last one taken out of its buffer on. Times are rounded
@@ -10,42 +9,41 @@
 final class ArrivalTimes {
     /** Bytes that arrive so soon after others count as received with them. */
     private static final long RESOLUTION_NS = Clock.MILLISECOND;
-    /** Above this number of arrivals, each two of them become one. */
+    /** At this number of arrivals, each two of them become one. */
     private static final int MAX_ARRIVALS = 256;
+    private static final int INITIAL_CAPACITY = 2;
 
-    /**
-     * Bytes that were received together.
-     *
-     * @param endOffset the number of bytes of the stream up to the last of them
-     * @param at when the first of them was received, in nanoseconds
-     */
-    private record Arrival(long endOffset, long at) {
-    }
-
-    private final Deque<Arrival> arrivals = new ArrayDeque<>();
+    /** For each arrival, oldest first, the number of bytes of the stream up to the last one that it brought. */
+    private long[] endOffsets = new long[INITIAL_CAPACITY];
+    /** When the first byte of each arrival was received, in nanoseconds. */
+    private long[] times = new long[INITIAL_CAPACITY];
+    private int count;
     private long receivedBytes;
 
     /** Records that bytes were received. {@code at} must not decrease from call to call; if it does, it is raised. */
     void onReceived(int bytes, long at) {
         receivedBytes += bytes;
-        Arrival last = arrivals.peekLast();
-        if (last != null && at - last.at < RESOLUTION_NS) {
-            arrivals.pollLast();
-            arrivals.addLast(new Arrival(receivedBytes, last.at));
+        if (count > 0 && at - times[count - 1] < RESOLUTION_NS) {
+            endOffsets[count - 1] = receivedBytes;
             return;
         }
-        arrivals.addLast(new Arrival(receivedBytes, at));
-        if (arrivals.size() > MAX_ARRIVALS) {
+        if (count == MAX_ARRIVALS) {
             mergePairs();
+        } else if (count == times.length) {
+            endOffsets = Arrays.copyOf(endOffsets, 2 * count);
+            times = Arrays.copyOf(times, 2 * count);
         }
+        endOffsets[count] = receivedBytes;
+        times[count] = at;
+        count++;
     }
 
     private void mergePairs() {
-        for (int remaining = arrivals.size(); remaining > 0; remaining -= 2) {
-            Arrival first = arrivals.pollFirst();
-            long endOffset = remaining > 1 ? arrivals.pollFirst().endOffset : first.endOffset;
-            arrivals.addLast(new Arrival(endOffset, first.at));
+        for (int i = 0; i < count / 2; i++) {
+            endOffsets[i] = endOffsets[2 * i + 1];
+            times[i] = times[2 * i];
         }
+        count /= 2;
     }
 
     /**
@@ -54,9 +52,24 @@
      */
     long receivedAt(int unreadBytes) {
         long offset = receivedBytes - unreadBytes;
-        while (arrivals.size() > 1 && arrivals.peekFirst().endOffset < offset) {
-            arrivals.pollFirst();
+        int first = 0;
+        while (first < count - 1 && endOffsets[first] < offset) {
+            first++;
         }
-        return arrivals.peekFirst().at;
+        if (first > 0) {
+            System.arraycopy(endOffsets, first, endOffsets, 0, count - first);
+            System.arraycopy(times, first, times, 0, count - first);
+            count -= first;
+        }
+        if (unreadBytes == 0 && times.length > INITIAL_CAPACITY) {
+            endOffsets = Arrays.copyOf(endOffsets, INITIAL_CAPACITY);
+            times = Arrays.copyOf(times, INITIAL_CAPACITY);
+        }
+        return times[0];
+    }
+
+    /** Returns the heap memory of the times beyond what each stream needs, in bytes. */
+    int memoryBytes() {
+        return 2 * Long.BYTES * (times.length - INITIAL_CAPACITY);
     }
 }
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -49,6 +49,7 @@
     private long ioFailures;
     private final RateLimitedLog ioFailureLog = new RateLimitedLog();
     private final RateLimitedLog brokenClientLog = new RateLimitedLog();
+    private final RateLimitedLog clientFailureLog = new RateLimitedLog();
     private final RateLimitedLog acceptFailureLog = new RateLimitedLog();
     private final RateLimitedLog discoveryFailureLog = new RateLimitedLog();
     /** New connections whose first request the host answered "busy", as it was at its connection limit. */
@@ -168,6 +169,11 @@
         }
     }
 
+    /** Records that something failed unexpectedly on a client connection. */
+    void recordClientFailure(Throwable cause) {
+        clientFailureLog.log("unexpected exception on a client connection: " + cause);
+    }
+
     /**
      * Records a failed read or write call. The connection may still work.
      *
--- a/src/main/java/eiderscale/net/DrainingRecvByteBufAllocator.java
+++ b/src/main/java/eiderscale/net/DrainingRecvByteBufAllocator.java
@@ -6,6 +6,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
+import java.util.function.IntSupplier;
 
 /**
  * Continues the read loop until nothing is left to read, so that the end of a client's stream is detected together with
@@ -20,20 +21,32 @@
     private static final int FALLBACK_BUFFER_BYTES = 512;
     /** Chooses the sizes of the buffers. */
     private final RecvByteBufAllocator bufferSizer = new AdaptiveRecvByteBufAllocator();
+    private final IntSupplier maxBufferBytes;
+
+    /**
+     * Creates an allocator.
+     *
+     * @param maxBufferBytes asked for each buffer; returns its largest size
+     */
+    DrainingRecvByteBufAllocator(IntSupplier maxBufferBytes) {
+        this.maxBufferBytes = maxBufferBytes;
+    }
 
     @Override
     public Handle newHandle() {
-        return new DrainingHandle(bufferSizer.newHandle());
+        return new DrainingHandle(bufferSizer.newHandle(), maxBufferBytes);
     }
 
     /** Limits one read loop of a channel. */
     private static final class DrainingHandle extends DelegatingHandle {
+        private final IntSupplier maxBufferBytes;
         private ChannelConfig config;
         private int readCount;
         private long totalBytesRead;
 
-        DrainingHandle(Handle bufferSizer) {
+        DrainingHandle(Handle bufferSizer, IntSupplier maxBufferBytes) {
             super(bufferSizer);
+            this.maxBufferBytes = maxBufferBytes;
         }
 
         @Override
@@ -48,7 +61,7 @@
         @Override
         public ByteBuf allocate(ByteBufAllocator alloc) {
             try {
-                return super.allocate(alloc);
+                return alloc.ioBuffer(Math.min(guess(), maxBufferBytes.getAsInt()));
             } catch (OutOfMemoryError e) {
                 return Unpooled.buffer(FALLBACK_BUFFER_BYTES);
             }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -265,7 +265,7 @@
     final class PooledConnection extends SimpleChannelInboundHandler<MetaFrame> {
         private final Host host;
         private final int generation;
-        private final MetaDecoder decoder = MetaDecoder.forResponses(memoryBudget);
+        private final ResponseDecoder decoder = new ResponseDecoder(memoryBudget);
         private State state = State.CONNECTING;
         private Channel channel;
         /** The attempt in flight, or the one to write when the connection is up; null if there is none. */
@@ -366,7 +366,7 @@
             boolean isProtocolError = reason == null;
             if (isProtocolError) {
                 Counters.log("protocol error in a cache host's response: "
-                        + (response.protocolError() != null ? response.protocolError() : response.tokens()));
+                        + (response.protocolError() != null ? response.protocolError() : response.line()));
             }
             if (reason == Reason.REJECTED && lastResponseAt == 0) {
                 // A host that is at its connection limit answers the first request on a new connection with "busy" and
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -74,7 +74,7 @@
     private void sweep() {
         try {
             balancer.evictExpiredConnections();
-            clientServer.closeStalledConnections();
+            clientServer.sweep();
             if (counters.hasNewProblems() | ++sweepCount % SWEEPS_PER_METRICS_LINE == 0) {
                 logMetrics();
             }
--- a/src/main/java/eiderscale/net/PendingReply.java
+++ b/src/main/java/eiderscale/net/PendingReply.java
@@ -1,7 +1,5 @@
 package eiderscale.net;
 
-import io.netty.buffer.ByteBuf;
-
 /** An entry of a connection's {@link ReplyQueue}: one command and, once complete, its reply. */
 final class PendingReply implements Exchange.ReplyHandler {
     private final ReplyQueue queue;
@@ -9,19 +7,19 @@
     final long receivedAt;
     /** Whether the command is a read, whose reply may hold a value. */
     final boolean isRead;
-    /** The command until it is processed, null from then on. */
-    MetaFrame command;
     /** The request, if the command is one and has been submitted to the balancer; else null. */
     Exchange exchange;
-    /** The encoded reply on the heap, null until it is complete; the part already written is consumed. */
-    ByteBuf reply;
+    /** The encoded reply, null until it is complete. */
+    EncodedReply reply;
     /** When the reply was complete, in nanoseconds of {@link Clock}. */
     long completedAt;
+    /** The neighbours in the queue, null at its ends. */
+    PendingReply previous;
+    PendingReply next;
 
     PendingReply(ReplyQueue queue, MetaFrame command, long receivedAt) {
         this.queue = queue;
         this.receivedAt = receivedAt;
-        this.command = command;
         this.isRead = command != null && command.tokenIs(0, "mg");
     }
 
--- a/src/main/java/eiderscale/net/ReplyMemory.java
+++ b/src/main/java/eiderscale/net/ReplyMemory.java
@@ -15,8 +15,6 @@
     private static final double PIPELINING_FRACTION = 0.6;
     /** Part of the memory budget from which on memory is scarce. */
     private static final double SCARCITY_FRACTION = 0.5;
-    /** Part of the memory budget up to which input is buffered and commands are rejected to take it out of there. */
-    private static final double INPUT_FRACTION = 0.8;
     /** Bytes passed to the channels of all connections above which each gets its replies in small pieces. */
     private static final long MAX_TOTAL_BYTES_BEING_WRITTEN = 4L * 1024 * 1024;
     /** The estimate of a reply's size falls by this fraction of the difference with each smaller reply. */
@@ -53,11 +51,6 @@
         return budget.usedBytes() + expectedBytes <= budget.limitBytes() * PIPELINING_FRACTION;
     }
 
-    /** Whether more than a little input may be buffered, and rejections may be queued behind earlier replies. */
-    boolean hasRoomForInput() {
-        return budget.usedBytes() < budget.limitBytes() * INPUT_FRACTION;
-    }
-
     /** Whether so much memory is used that clients that do not read their replies have to be disconnected. */
     boolean isScarce() {
         return budget.usedBytes() > budget.limitBytes() * SCARCITY_FRACTION;
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -1,13 +1,9 @@
 package eiderscale.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -17,8 +13,9 @@
  * loop.
  */
 final class ReplyQueue {
-    /** Called when a reply is complete, or when more of the replies can be written. */
+    /** The owner of the connection. */
     interface Listener {
+        /** Called when a reply is complete, or when more of the replies can be written. */
         void onReplyReady();
     }
 
@@ -30,20 +27,22 @@
     /** Values up to this size are not worth dropping. */
     private static final int MIN_DROPPABLE_BYTES = 1024;
     private static final long WRITE_RETRY_DELAY_MS = 5;
-    private static final byte[] CRLF = {'\r', '\n'};
     /** The reply in place of a value that was dropped: the read may have run. */
-    private static final byte[] FAILED_REPLY = "SERVER_ERROR failed\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final String FAILED_REPLY = "SERVER_ERROR failed\r\n";
 
     private final Channel channel;
     private final ReplyMemory memory;
     private final Counters counters;
     private final Listener listener;
-    private final Deque<PendingReply> entries = new ArrayDeque<>();
-    /** The last entry while it collects the rejections of successive commands; null otherwise. */
+    /** The entries are linked to each other: adding one allocates nothing, and so cannot fail half-way. */
+    private PendingReply head;
+    private PendingReply tail;
+    private int size;
+    /** The last entry while it stands for the rejections of successive commands; null otherwise. */
     private PendingReply rejections;
     /** Entries without a reply. */
     private int inProgressCount;
-    /** Bytes of the complete replies in the queue. */
+    /** Heap memory of the complete replies in the queue, in bytes. */
     private int replyBytes;
     /** Bytes of the pieces that were written to the socket completely. */
     private long writtenBytes;
@@ -71,12 +70,12 @@
      * @param receivedAt when the last byte of the command was received, in nanoseconds of {@link Clock}
      */
     PendingReply add(MetaFrame command, long receivedAt) {
-        rejections = null;
         PendingReply pending = new PendingReply(this, command, receivedAt);
-        if (entries.isEmpty()) {
+        if (head == null) {
             memory.register(this);
         }
-        entries.add(pending);
+        append(pending);
+        rejections = null;
         memory.add(ENTRY_BYTES);
         inProgressCount++;
         if (pending.isRead) {
@@ -85,11 +84,27 @@
         return pending;
     }
 
-    /** Removes an entry that gets no reply. */
-    void remove(PendingReply pending) {
-        if (entries.remove(pending)) {
-            releaseEntry(pending);
+    private void append(PendingReply pending) {
+        pending.previous = tail;
+        if (tail == null) {
+            head = pending;
+        } else {
+            tail.next = pending;
+        }
+        tail = pending;
+        size++;
+    }
+
+    private void removeHead() {
+        PendingReply removed = head;
+        head = removed.next;
+        if (head == null) {
+            tail = null;
+        } else {
+            head.previous = null;
         }
+        size--;
+        releaseEntry(removed);
     }
 
     /** Completes an entry. Has no effect if it has its reply already or the connection is closed. */
@@ -97,7 +112,7 @@
         if (isClosed || pending.reply != null) {
             return;
         }
-        setReply(pending, encode(line, data));
+        setReply(pending, EncodedReply.of(line, data));
         notifyListener();
     }
 
@@ -111,19 +126,14 @@
         }
     }
 
-    private static ByteBuf encode(String line, byte[] data) {
-        byte[] lineBytes = line.getBytes(StandardCharsets.ISO_8859_1);
-        return data == null ? Unpooled.wrappedBuffer(lineBytes) : Unpooled.wrappedBuffer(lineBytes, data, CRLF);
-    }
-
-    private void setReply(PendingReply pending, ByteBuf reply) {
+    private void setReply(PendingReply pending, EncodedReply reply) {
         onCompleted(pending);
         if (pending.isRead) {
-            memory.recordReadReply(reply.readableBytes());
+            memory.recordReadReply(reply.memoryBytes());
         }
         pending.reply = reply;
         pending.completedAt = Clock.now();
-        addReplyBytes(reply.readableBytes());
+        addReplyBytes(reply.memoryBytes());
     }
 
     private void onCompleted(PendingReply pending) {
@@ -138,28 +148,27 @@
         memory.add(bytes);
     }
 
-    /** Appends the rejection of a command, to the last entry if that is one of rejections. */
+    /**
+     * Appends the rejection of a command. Those of successive commands share an entry, whose memory does not grow with
+     * their number.
+     */
     void reject() {
-        if (rejections == null) {
-            PendingReply pending = add(null, Clock.now());
-            setReply(pending, Unpooled.buffer(Command.BUSY_REPLY.length()));
-            rejections = pending;
+        if (rejections != null) {
+            rejections.reply.addCopy();
+            return;
         }
-        rejections.reply.writeCharSequence(Command.BUSY_REPLY, StandardCharsets.ISO_8859_1);
-        addReplyBytes(Command.BUSY_REPLY.length());
-    }
-
-    /** Returns the bytes of the rejections to which the next one would be added; 0 if it would begin a new entry. */
-    int rejectionBytes() {
-        return rejections == null ? 0 : rejections.reply.readableBytes();
+        EncodedReply reply = EncodedReply.of(Command.BUSY_REPLY, null);
+        PendingReply pending = add(null, Clock.now());
+        setReply(pending, reply);
+        rejections = pending;
     }
 
     boolean isEmpty() {
-        return entries.isEmpty();
+        return head == null;
     }
 
     int size() {
-        return entries.size();
+        return size;
     }
 
     /** Returns the number of commands without a reply. */
@@ -188,14 +197,18 @@
 
     /** Returns the opaque tokens of the requests in progress, for the log. */
     List<String> openRequestOpaques() {
-        return entries.stream().filter(pending -> pending.reply == null && pending.exchange != null)
-                .map(pending -> pending.exchange.command.opaque).toList();
+        List<String> opaques = new ArrayList<>();
+        for (PendingReply pending = head; pending != null; pending = pending.next) {
+            if (pending.reply == null && pending.exchange != null) {
+                opaques.add(pending.exchange.command.opaque);
+            }
+        }
+        return opaques;
     }
 
     /** Returns the bytes of replies that wait for an earlier one. */
     int waitingBytes() {
-        PendingReply head = entries.peek();
-        return head == null || head.reply == null ? replyBytes : replyBytes - head.reply.writerIndex();
+        return head == null || head.reply == null ? replyBytes : replyBytes - head.reply.memoryBytes();
     }
 
     /**
@@ -203,12 +216,11 @@
      * no value waits.
      */
     boolean dropLastWaitingValue() {
-        for (Iterator<PendingReply> lastFirst = entries.descendingIterator(); lastFirst.hasNext(); ) {
-            PendingReply pending = lastFirst.next();
-            if (pending != entries.peek() && pending != rejections && pending.reply != null
-                    && pending.reply.readableBytes() > MIN_DROPPABLE_BYTES) {
-                addReplyBytes(FAILED_REPLY.length - pending.reply.readableBytes());
-                pending.reply = Unpooled.wrappedBuffer(FAILED_REPLY);
+        for (PendingReply pending = tail; pending != head; pending = pending.previous) {
+            if (pending.reply != null && pending.reply.dataBytes() > MIN_DROPPABLE_BYTES) {
+                EncodedReply failed = EncodedReply.of(FAILED_REPLY, null);
+                addReplyBytes(failed.memoryBytes() - pending.reply.memoryBytes());
+                pending.reply = failed;
                 return true;
             }
         }
@@ -243,7 +255,7 @@
     }
 
     private boolean isHeadComplete() {
-        return !entries.isEmpty() && entries.peek().reply != null;
+        return head != null && head.reply != null;
     }
 
     private boolean mayWriteChunk() {
@@ -251,16 +263,16 @@
     }
 
     private void writeChunk() {
-        PendingReply head = entries.peek();
-        rejections = head == rejections ? null : rejections;
+        PendingReply written = head;
+        rejections = written == rejections ? null : rejections;
         long writeStartedAt = Clock.now();
-        int length = Math.min(head.reply.readableBytes(), memory.isWritingScarce() ? SMALL_CHUNK_BYTES : CHUNK_BYTES);
+        int maxBytes = memory.isWritingScarce() ? SMALL_CHUNK_BYTES : CHUNK_BYTES;
+        int length = (int) Math.min(written.reply.remainingBytes(), maxBytes);
         ByteBuf chunk = channel.alloc().directBuffer(length);
-        chunk.writeBytes(head.reply, length);
-        boolean isLast = !head.reply.isReadable();
+        written.reply.writeTo(chunk, length);
+        boolean isLast = written.reply.remainingBytes() == 0;
         if (isLast) {
-            entries.poll();
-            releaseEntry(head);
+            removeHead();
         }
         pendingChunks++;
         memory.onWriteStarted(length);
@@ -272,7 +284,7 @@
                 channel.close(); // Without this piece the replies behind it must not be sent.
             }
             if (isLast) {
-                counters.recordReplyWrite(writeStartedAt - head.completedAt, Clock.now() - head.completedAt);
+                counters.recordReplyWrite(writeStartedAt - written.completedAt, Clock.now() - written.completedAt);
             }
             if (isHeadComplete() && mayWriteChunk()) {
                 scheduleWrite(0);
@@ -294,24 +306,24 @@
     /** Empties the queue of a closed connection, and reports that the client of its open requests has gone. */
     void close(Balancer balancer) {
         isClosed = true;
-        memory.unregister(this);
-        for (PendingReply pending : entries) {
-            releaseEntry(pending);
+        while (head != null) {
+            PendingReply pending = head;
+            removeHead();
             if (pending.reply == null && pending.exchange != null) {
                 balancer.onClientDisconnect(pending.exchange);
             }
         }
-        entries.clear();
+        memory.unregister(this);
     }
 
     /** Releases the memory of an entry that leaves the queue. A reply is on the heap until its last piece is copied. */
     private void releaseEntry(PendingReply pending) {
-        if (entries.isEmpty()) {
+        if (head == null) {
             memory.unregister(this);
         }
         memory.release(ENTRY_BYTES);
         if (pending.reply != null) {
-            addReplyBytes(-pending.reply.writerIndex());
+            addReplyBytes(-pending.reply.memoryBytes());
         } else {
             onCompleted(pending);
         }
--- a/src/main/java/eiderscale/net/RetryingSocketChannel.java
+++ b/src/main/java/eiderscale/net/RetryingSocketChannel.java
@@ -83,6 +83,11 @@
         return delayNs;
     }
 
+    /** Whether the last read failed and is to be repeated, so that not even the end of the stream would be seen. */
+    boolean isReadFailing() {
+        return readsFailingSince != NOT_FAILING;
+    }
+
     private int readRetryingInterrupts(ByteBuf buffer) throws Exception {
         int bytesRead = super.doReadBytes(buffer);
         // Retried at once, as the end of the stream may be unread: no request is started for a client that has
--- a/src/test/java/eiderscale/net/BalancerProcess.java
+++ b/src/test/java/eiderscale/net/BalancerProcess.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Runs the balancer program as a child process and collects the lines that it logs. */
 final class BalancerProcess implements AutoCloseable {
@@ -131,6 +132,18 @@
         return descriptors == null ? 0 : descriptors.length;
     }
 
+    /** The most memory that the process has had in use so far, in KiB; 0 if it has ended. */
+    long peakMemoryKb() throws IOException {
+        Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+        if (!Files.exists(status)) {
+            return 0;
+        }
+        try (Stream<String> lines = Files.lines(status)) {
+            return lines.filter(line -> line.startsWith("VmHWM:")).findFirst()
+                    .map(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).orElse(0L);
+        }
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -254,14 +254,15 @@
         CountDownLatch writesReleased = new CountDownLatch(1);
         FakeHost host = FakeHost.responding(command -> command.startsWith("mg")
                 ? FakeHost.valueResponse(command, value) : FakeHost.responseAfter(writesReleased, command));
+        List<LineSocket> holders = new ArrayList<>();
         try (BalancerFixture fixture = new BalancerFixture(host)) {
             fixture.requestDeadlineMs = 60_000;
             fixture.memoryBudgetBytes = 16L * value.length();
             fixture.start();
-            try (LineSocket holder = fixture.connectClient();
-                    LineSocket client = fixture.connectClientWithSmallBuffer()) {
+            try (LineSocket client = fixture.connectClientWithSmallBuffer()) {
                 for (int i = 0; i < writes; i++) {
-                    holder.write("ms 1 60000 O" + i + " Pc=copy,t=acme,d=60000\r\n" + value + "\r\n");
+                    holders.add(fixture.connectClient());
+                    holders.get(i).write("ms 1 60000 O" + i + " Pc=copy,t=acme,d=60000\r\n" + value + "\r\n");
                 }
                 for (int i = 0; i < writes; i++) {
                     assertTrue(host.awaitCommand() != null); // From now on memory is scarce.
@@ -269,14 +270,18 @@
                 for (int i = 0; i < 500; i++) {
                     client.write("mg 1 v O" + i + " Pc=read,t=acme,d=60000\r\n");
                 }
-                ServingTest.awaitGauges(fixture, "clients 2 ");
-                ServingTest.awaitGauges(fixture, "clients 1 ");
+                ServingTest.awaitGauges(fixture, "clients " + (writes + 1) + " ");
+                ServingTest.awaitGauges(fixture, "clients " + writes + " ");
                 writesReleased.countDown();
                 for (int i = 0; i < writes; i++) {
-                    assertEquals("HD O" + i + " c77", holder.readLine(), "the client that reads is kept");
+                    assertEquals("HD O" + i + " c77", holders.get(i).readLine(), "a client that reads is kept");
                 }
                 ServingTest.awaitGauges(fixture, " held-kb 0 ");
             }
+        } finally {
+            for (LineSocket holder : holders) {
+                holder.close();
+            }
         }
     }
 
--- a/src/test/java/eiderscale/net/LineSocket.java
+++ b/src/test/java/eiderscale/net/LineSocket.java
@@ -15,6 +15,7 @@
 final class LineSocket implements AutoCloseable {
     /** Read timeout, and limit of other waits in tests: long, so that a slow machine does not exceed it. */
     static final int TIMEOUT_MS = 20_000;
+    private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
     private final Socket socket;
     private final InputStream in;
 
@@ -87,6 +88,14 @@
         }
     }
 
+    /** Discards the peer's output at full speed until the connection ends or nothing arrives for long. */
+    void discardInput() throws IOException {
+        byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
+        while (in.read(buffer) >= 0) {
+            // Discarded.
+        }
+    }
+
     /** Closes the connection with a reset (RST) instead of a FIN. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- a/src/test/java/eiderscale/net/ReplyQueueTest.java
+++ b/src/test/java/eiderscale/net/ReplyQueueTest.java
@@ -11,7 +11,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Guards against wrong choices of what to give up when there is no memory, and against leaks in its account. */
@@ -27,7 +26,7 @@
         final ReplyQueue queue = new ReplyQueue(channel, memory, new Counters(), () -> { });
 
         PendingReply addRead() {
-            return queue.add(new MetaFrame(List.of("mg", "1"), null, null), 0);
+            return queue.add(new MetaFrame("mg 1", null, null), 0);
         }
 
         void completeRead(PendingReply pending) {
@@ -35,12 +34,16 @@
         }
 
         String written() {
-            queue.write();
             StringBuilder text = new StringBuilder();
-            for (ByteBuf piece = channel.readOutbound(); piece != null; piece = channel.readOutbound()) {
-                text.append(piece.toString(StandardCharsets.ISO_8859_1));
-                piece.release();
-            }
+            int lengthBefore;
+            do {
+                lengthBefore = text.length();
+                queue.write();
+                for (ByteBuf piece = channel.readOutbound(); piece != null; piece = channel.readOutbound()) {
+                    text.append(piece.toString(StandardCharsets.ISO_8859_1));
+                    piece.release();
+                }
+            } while (text.length() > lengthBefore);
             return text.toString();
         }
     }
@@ -63,6 +66,44 @@
         assertEquals(50_000, budget.usedBytes());
     }
 
+    /**
+     * Case 9: an entry of thousands of rejections was taken for a value and given up, so that as many commands had no
+     * reply and later replies came in their place.
+     */
+    @Test
+    void rejectionsAreNotGivenUp() {
+        Client client = new Client();
+        int rejections = 9_569;
+        PendingReply head = client.addRead();
+        for (int i = 0; i < rejections; i++) {
+            client.queue.reject();
+        }
+        client.completeRead(client.addRead());
+        assertTrue(budget.tryReserve(90_000), "after the value was given up");
+        assertFalse(budget.tryReserve(90_000), "nothing else may be given up");
+        client.completeRead(head);
+        String expected = "VA 20000 O1\r\n" + "v".repeat(VALUE_BYTES) + "\r\n"
+                + "SERVER_ERROR busy\r\n".repeat(rejections) + "SERVER_ERROR failed\r\n";
+        assertTrue(expected.equals(client.written()), "one reply for each command, in their order");
+    }
+
+    /** Case 6: each rejection took up the memory of its bytes, in an array that grew by copying. */
+    @Test
+    void memoryOfRejectionsDoesNotGrowWithTheirNumber() {
+        Client client = new Client();
+        PendingReply head = client.addRead();
+        client.queue.reject();
+        long usedBytes = budget.usedBytes();
+        for (int i = 0; i < 1_000_000; i++) {
+            client.queue.reject();
+        }
+        assertEquals(usedBytes, budget.usedBytes());
+        assertEquals(2, client.queue.size());
+        head.reply("MN\r\n", null);
+        assertEquals("MN\r\n".length() + 1_000_001L * "SERVER_ERROR busy\r\n".length(), client.written().length());
+        assertEquals(0, budget.usedBytes());
+    }
+
     /** A reply that can be written is not given up: giving up values must not fail what is being served. */
     @Test
     void theReplyAtTheHeadIsKept() {
