--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -30,7 +30,7 @@
     /** How long after its deadline a request that the module has left open gets a reply without the module. */
     private static final long OVERDUE_REPLY_DELAY_NS = Clock.MILLISECOND;
     private static final long REPLY_RETRY_DELAY_MS = 5;
-    /** Heap memory of a request without its value, in bytes: its command, attempts and timers, also in the module. */
+    /** Heap memory of a request without its text and value, in bytes: attempts and timers, also in the module. */
     private static final int REQUEST_BYTES = 1024;
     /** Maximum total size of the values of the requests in memory; the heap has room for a few times as much. */
     private static final long MAX_HELD_VALUE_BYTES = 8L * 1024 * 1024;
@@ -135,9 +135,9 @@
 
     /** Reserves memory for a request and its value; returns false if there is none. */
     private boolean tryHold(Command command) {
-        int valueBytes = valueBytes(command);
+        int valueBytes = command.valueBytes();
         if (valueBytes > 0 && heldValueBytes + valueBytes > MAX_HELD_VALUE_BYTES
-                || !memoryBudget.tryReserve(REQUEST_BYTES + valueBytes)) {
+                || !memoryBudget.tryReserve(REQUEST_BYTES + command.memoryBytes())) {
             return false;
         }
         heldValueBytes += valueBytes;
@@ -145,12 +145,8 @@
     }
 
     private void releaseHeld(Command command) {
-        heldValueBytes -= valueBytes(command);
-        memoryBudget.release(REQUEST_BYTES + valueBytes(command));
-    }
-
-    private static int valueBytes(Command command) {
-        return command.value == null ? 0 : command.value.length;
+        heldValueBytes -= command.valueBytes();
+        memoryBudget.release(REQUEST_BYTES + command.memoryBytes());
     }
 
     /** Handles that the client of a request has disconnected: an open request is closed without a reply. */
--- a/src/main/java/eiderscale/net/Command.java
+++ b/src/main/java/eiderscale/net/Command.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.List;
 
 /**
  * A client's validated read ({@code mg}) or write ({@code ms}), with all that is needed to forward it to a cache host.
@@ -49,9 +49,10 @@
     final boolean isRetry;
     /** Expected work in nanoseconds, 0 if unknown; from the parameter {@code h}, in microseconds. */
     final long expectedWorkNs;
-    private final String[] parameters;
-    /** Index of the first {@code d} in {@link #parameters}. */
-    private int timeoutIndex = -1;
+    /** The list of parameters up to the value of the first {@code d}. */
+    private final String parametersBeforeTimeout;
+    /** The list of parameters behind that value. */
+    private final String parametersAfterTimeout;
 
     /**
      * Parses and validates a command.
@@ -62,18 +63,19 @@
     Command(MetaFrame frame, SiteSettings site) throws MalformedCommandException {
         isWrite = frame.tokenIs(0, "ms");
         value = frame.data();
-        if (frame.tokens().size() < 2 || frame.tokens().get(1).length() > MAX_KEY_BYTES) {
+        List<String> tokens = frame.tokens();
+        if (tokens.size() < 2 || tokens.get(1).length() > MAX_KEY_BYTES) {
             throw new MalformedCommandException("bad key");
         }
-        key = frame.tokens().get(1);
+        key = tokens.get(1);
         int firstFlagIndex = isWrite ? 3 : 2;
         String opaqueFlag = null;
-        String parameterList = null;
+        String parameters = "";
         boolean wantsValue = false;
-        for (String flag : frame.tokens().subList(firstFlagIndex, frame.tokens().size())) {
+        for (String flag : tokens.subList(firstFlagIndex, tokens.size())) {
             switch (flag.charAt(0)) {
                 case 'O' -> opaqueFlag = flag.substring(1);
-                case 'P' -> parameterList = flag.substring(1);
+                case 'P' -> parameters = flag.substring(1);
                 case 'v' -> wantsValue = true;
                 default -> throw new MalformedCommandException("unknown flag");
             }
@@ -85,18 +87,17 @@
             throw new MalformedCommandException(isWrite ? "ms takes no v" : "mg needs v");
         }
         opaque = opaqueFlag;
-        parameters = parameterList == null ? new String[0] : parameterList.split(",");
-        requestClassIndex = requireKnown(site.requestClassIndex(parameter("c")), "class");
-        tenantIndex = requireKnown(site.tenantIndex(parameter("t")), "tenant");
-        timeoutMs = Math.min(MAX_TIMEOUT_MS, nonNegativeParameter("d", -1));
+        requestClassIndex = requireKnown(site.requestClassIndex(parameter(parameters, "c")), "class");
+        tenantIndex = requireKnown(site.tenantIndex(parameter(parameters, "t")), "tenant");
+        timeoutMs = Math.min(MAX_TIMEOUT_MS, nonNegativeParameter(parameters, "d", -1));
         if (timeoutMs < 0) {
             throw new MalformedCommandException("missing d");
         }
-        isRetry = "1".equals(parameter("r"));
-        expectedWorkNs = Math.min(MAX_TIMEOUT_MS * 1000, nonNegativeParameter("h", 0)) * 1000;
-        for (int i = parameters.length - 1; i >= 0; i--) {
-            timeoutIndex = parameters[i].startsWith("d=") ? i : timeoutIndex;
-        }
+        isRetry = "1".equals(parameter(parameters, "r"));
+        expectedWorkNs = Math.min(MAX_TIMEOUT_MS * 1000, nonNegativeParameter(parameters, "h", 0)) * 1000;
+        int timeoutStart = valueStart(parameters, "d");
+        parametersBeforeTimeout = parameters.substring(0, timeoutStart);
+        parametersAfterTimeout = parameters.substring(valueEnd(parameters, timeoutStart));
     }
 
     /** Returns the index; throws if it is null, which means that the settings do not define the name. */
@@ -107,15 +108,33 @@
         return index;
     }
 
+    /** Returns the position of the value of the first parameter of that name, or -1 if there is none. */
+    private static int valueStart(String parameters, String name) {
+        String prefix = name + "=";
+        for (int start = 0; start < parameters.length(); start = valueEnd(parameters, start) + 1) {
+            if (parameters.startsWith(prefix, start)) {
+                return start + prefix.length();
+            }
+        }
+        return -1;
+    }
+
+    /** Returns the position behind the value that the position lies in. */
+    private static int valueEnd(String parameters, int position) {
+        int end = parameters.indexOf(',', position);
+        return end < 0 ? parameters.length() : end;
+    }
+
     /** Returns the value of the first parameter of that name, or null if there is none. */
-    private String parameter(String name) {
-        return Arrays.stream(parameters).filter(parameter -> parameter.startsWith(name + "=")).findFirst()
-                .map(parameter -> parameter.substring(name.length() + 1)).orElse(null);
+    private static String parameter(String parameters, String name) {
+        int start = valueStart(parameters, name);
+        return start < 0 ? null : parameters.substring(start, valueEnd(parameters, start));
     }
 
     /** Returns the value of a numeric parameter; if it is absent, the default, which may be negative. */
-    private long nonNegativeParameter(String name, long defaultValue) throws MalformedCommandException {
-        String text = parameter(name);
+    private static long nonNegativeParameter(String parameters, String name, long defaultValue)
+            throws MalformedCommandException {
+        String text = parameter(parameters, name);
         try {
             long value = text == null ? defaultValue : Long.parseLong(text);
             if (text == null || value >= 0) {
@@ -127,6 +146,17 @@
         throw new MalformedCommandException("bad " + name);
     }
 
+    /** Returns the heap memory of the key, the opaque, the parameters and the value, in bytes. */
+    int memoryBytes() {
+        return key.length() + opaque.length() + parametersBeforeTimeout.length() + parametersAfterTimeout.length()
+                + valueBytes();
+    }
+
+    /** Returns the length of the value to write, 0 for a read. */
+    int valueBytes() {
+        return value == null ? 0 : value.length;
+    }
+
     /**
      * Returns the key for the decision module, which is the same at all balancers: the value of a key of up to 16
      * hexadecimal digits, or a hash of any other key.
@@ -147,10 +177,8 @@
      * written in the fixed order {@code v}, {@code O}, {@code P}; of a repeated flag only the last is written.
      */
     ByteBuf encode(ByteBufAllocator alloc, long remainingMs) {
-        String[] updatedParameters = parameters.clone();
-        updatedParameters[timeoutIndex] = "d=" + remainingMs;
         String line = (isWrite ? "ms " + key + " " + value.length : "mg " + key + " v") + " O" + opaque
-                + " P" + String.join(",", updatedParameters) + "\r\n";
+                + " P" + parametersBeforeTimeout + remainingMs + parametersAfterTimeout + "\r\n";
         return encodeLine(alloc, line, value);
     }
 
--- a/src/test/java/eiderscale/net/ManyClientsMemoryTest.java
+++ b/src/test/java/eiderscale/net/ManyClientsMemoryTest.java
@@ -9,7 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntFunction;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInfo;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -36,8 +38,14 @@
 
     @TempDir
     private Path directory;
+    private String testName;
     private final List<LineSocket> clients = new ArrayList<>();
 
+    @BeforeEach
+    void noteName(TestInfo test) {
+        testName = test.getDisplayName();
+    }
+
     /** Responds to the sound clients at once, and to others after a delay. */
     private FakeHost newHost() throws IOException {
         return FakeHost.responding(command -> {
@@ -66,7 +74,7 @@
                 }
                 Thread.sleep(loadMs);
                 sound.stop();
-                System.out.println(sound + ", peak memory " + process.peakMemoryKb() + " KiB");
+                System.out.println(testName + ": " + sound + ", peak memory " + process.peakMemoryKb() + " KiB");
                 assertTrue(process.isAlive(), "the process has ended: " + process.log());
                 assertFalse(process.hasLogged("OutOfMemoryError"), "" + process.log());
                 assertEquals(0, sound.lost.get(), "requests without a reply; " + sound);
