--- a/src/main/java/eiderscale/Hedging.java
+++ b/src/main/java/eiderscale/Hedging.java
@@ -3,8 +3,6 @@
 import com.tdunning.math.stats.MergingDigest;
 import com.tdunning.math.stats.TDigest;
 import eiderscale.Api.RetryBudget;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /**
  * The delay of hedged requests, a quantile of recent read latencies, and the budget for hedges and retries
@@ -37,10 +35,10 @@
     private long medianLatencyNs;
     private final RetryBudget budget;
     private final boolean isBudgetConfigured;
-    /** When each request within the budget's window was received. */
-    private final Deque<Long> requestReceived = new ArrayDeque<>();
-    /** When each hedge and charged retry within the window was sent. */
-    private final Deque<Long> furtherAttemptTimes = new ArrayDeque<>();
+    /** The requests received within the budget's window; rather too few than too many. */
+    private final SlidingWindowCounter requests;
+    /** The hedges and charged retries sent within the window; rather too many than too few. */
+    private final SlidingWindowCounter furtherAttempts;
 
     /**
      * Starts without samples and with an empty window.
@@ -50,18 +48,16 @@
     Hedging(RetryBudget budget) {
         this.isBudgetConfigured = budget != null;
         this.budget = isBudgetConfigured ? budget : DEFAULT_BUDGET;
+        long windowNs = this.budget.windowNs();
+        this.requests = new SlidingWindowCounter(windowNs, SlidingWindowCounter.Expiry.WITH_FIRST);
+        // An attempt still counts when exactly the window has passed.
+        this.furtherAttempts =
+                new SlidingWindowCounter(windowNs + 1, SlidingWindowCounter.Expiry.WITH_LAST);
     }
 
     /** Counts a client request towards the budget, whether it is refused or not. */
     void requestReceived(long now) {
-        requestReceived.add(now);
-        removeExpired(requestReceived, now - budget.windowNs());
-    }
-
-    private static void removeExpired(Deque<Long> times, long cutoff) {
-        while (!times.isEmpty() && times.peek() <= cutoff) {
-            times.poll();
-        }
+        requests.add(now);
     }
 
     /**
@@ -85,12 +81,10 @@
 
     /** Charges a further attempt if, with it, the window holds no more than this fraction of the budget. */
     private boolean trySpend(long now, double budgetFraction) {
-        removeExpired(requestReceived, now - budget.windowNs());
-        removeExpired(furtherAttemptTimes, now - budget.windowNs() - 1);
-        boolean isAllowed = furtherAttemptTimes.size() + 1
-                <= budgetFraction * (budget.minRetries() + budget.retryRatio() * requestReceived.size());
+        boolean isAllowed = furtherAttempts.count(now) + 1
+                <= budgetFraction * (budget.minRetries() + budget.retryRatio() * requests.count(now));
         if (isAllowed) {
-            furtherAttemptTimes.add(now);
+            furtherAttempts.add(now);
         }
         return isAllowed;
     }
@@ -126,6 +120,6 @@
     String gauges() {
         return "hedge-after " + latencyQuantileNs / 1_000_000 + " ms median "
                 + medianLatencyNs / 1_000_000 + " ms further "
-                + furtherAttemptTimes.size() + " of " + requestReceived.size();
+                + furtherAttempts.lastCount() + " of " + requests.lastCount();
     }
 }
