--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -34,6 +34,8 @@
     private static final int MAX_ATTEMPTS = 6;
     /** An instant that is never reached. */
     private static final long NEVER = Long.MAX_VALUE;
+    /** Timers of ended requests that are kept, beside as many as there are requests in flight. */
+    private static final int MAX_EXTRA_TIMERS = 256;
     private static final int REQUEST_TIMER_TOKEN = 1;
     private static final int SUBSCRIBE_TIMER_TOKEN = 2;
     /**
@@ -318,10 +320,23 @@
         inFlight.timerAt = dueAt;
         if (dueAt != NEVER) {
             requestTimers.add(new RequestTimer(dueAt, inFlight));
+            removeStaleTimers();
         }
         scheduleNextTimer(now);
     }
 
+    /** Removes the timers of requests that have ended, once they are the most. */
+    private void removeStaleTimers() {
+        if (requestTimers.size() > 2 * inFlightRequests.size() + MAX_EXTRA_TIMERS) {
+            requestTimers.removeIf(RequestTimer::isStale);
+        }
+    }
+
+    /** Returns the number of timers held, those of ended requests included. */
+    int timerCount() {
+        return requestTimers.size();
+    }
+
     /** Asks for a timer event at the earliest timer of all requests, unless one is due by then anyway. */
     private void scheduleNextTimer(long now) {
         while (!requestTimers.isEmpty() && requestTimers.peek().isStale()) {
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -409,4 +409,17 @@
         assertEquals(1, harness.sentAttempts.size());
         assertFalse(harness.isRefused(1));
     }
+
+    /** Picture (b): the timer of each request that had ended was kept until it was due, and the request with it. */
+    @Test
+    void timersOfEndedRequestsAreNotKept() {
+        RouterHarness harness = new RouterHarness(new RouterHarness.SettingsBuilder()).withServers(3);
+        harness.submitRequest(0, RouterHarness.READ, 1); // Its timer comes before those of the others.
+        for (int i = 1; i <= 50_000; i++) {
+            harness.submitRequest(i, RouterHarness.READ, i);
+            harness.endAttempt(i, 0, Reason.OK);
+            harness.sentAttempts.clear();
+            assertTrue(harness.router.timerCount() <= 1_000, "timers after " + i + " requests");
+        }
+    }
 }
