--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -387,7 +387,7 @@
         exchange.attempts.add(attempt);
         exchange.pendingAttempts++;
         boolean exceedsMaxAttempts = exchange.attempts.size() > site.settings.maxAttempts();
-        if (exchange.isClosed || exceedsMaxAttempts || nowNs >= exchange.deadline) {
+        if (exchange.isClosed || exceedsMaxAttempts || nowNs >= exchange.deadline || exchange.mayClientHaveLeft()) {
             completeAttempt(attempt, Reason.MOOT, null);
         } else if (nowNs >= cappedDeadline) {
             completeAttempt(attempt, Reason.TIMEOUT, null);
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -51,7 +51,7 @@
     /** Bytes of a line that cost as much to decode as an invalid command. */
     private static final int BYTES_PER_COST_UNIT = 64;
     /** Bytes that cost as much to read as an invalid command to decode. */
-    private static final int BYTES_READ_PER_COST_UNIT = 4 * 1024;
+    private static final int BYTES_READ_PER_COST_UNIT = 1024;
 
     private enum State {
         /** Requests are served. */
@@ -300,10 +300,14 @@
 
     /**
      * Whether the client may have left without that being seen. Not while the replies that are written are not read:
-     * the end of such a client resets the connection, which is seen at once.
+     * the end of such a client resets the connection, so that writes fail.
      */
-    private boolean mayClientHaveLeft() {
-        return backlogSince != NO_BACKLOG && Clock.now() - backlogSince > MAX_UNSEEN_END_NS && channel.isWritable();
+    @Override
+    public boolean mayClientHaveLeft() {
+        if (!channel.isWritable() || channel.isWriteFailing()) {
+            return channel.isWriteFailing() && !channel.config().isAutoRead();
+        }
+        return backlogSince != NO_BACKLOG && Clock.now() - backlogSince > MAX_UNSEEN_END_NS;
     }
 
     private boolean isInputLimitExceeded() {
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -18,6 +18,11 @@
          * @param data the data block without its CRLF, or null
          */
         void reply(String line, byte[] data);
+
+        /** Whether the client may have disconnected without that being seen: nothing may be started for it then. */
+        default boolean mayClientHaveLeft() {
+            return false;
+        }
     }
 
     /** Identifies the request to the decision module. */
@@ -68,6 +73,11 @@
         cancelDeadlineTimer();
     }
 
+    /** Whether the client may have disconnected without that being seen: no attempt may begin then. */
+    boolean mayClientHaveLeft() {
+        return replyHandler.mayClientHaveLeft();
+    }
+
     private void cancelDeadlineTimer() {
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -341,6 +341,10 @@
                 finishAttempt(Reason.CONNECT_FAILED, null, true);
                 return;
             }
+            if (attempt.exchange.mayClientHaveLeft()) {
+                finishAttempt(Reason.MOOT, null, true);
+                return;
+            }
             state = State.AWAITING_RESPONSE;
             long remainingWaitMs = Math.max(1, (attempt.deadline - nowNs) / Clock.MILLISECOND);
             ByteBuf bytes;
--- a/src/main/java/eiderscale/net/PendingReply.java
+++ b/src/main/java/eiderscale/net/PendingReply.java
@@ -27,4 +27,9 @@
     public void reply(String line, byte[] data) {
         queue.complete(this, line, data);
     }
+
+    @Override
+    public boolean mayClientHaveLeft() {
+        return queue.mayClientHaveLeft();
+    }
 }
--- a/src/main/java/eiderscale/net/ReplyQueue.java
+++ b/src/main/java/eiderscale/net/ReplyQueue.java
@@ -17,6 +17,11 @@
     interface Listener {
         /** Called when a reply is complete, or when more of the replies can be written. */
         void onReplyReady();
+
+        /** Whether the client may have disconnected without that being seen. */
+        default boolean mayClientHaveLeft() {
+            return false;
+        }
     }
 
     /** Heap memory of an entry without its reply, in bytes. */
@@ -171,6 +176,11 @@
         return size;
     }
 
+    /** Whether the client may have disconnected without that being seen. */
+    boolean mayClientHaveLeft() {
+        return listener.mayClientHaveLeft();
+    }
+
     /** Returns the number of commands without a reply. */
     int inProgressCount() {
         return inProgressCount;
--- a/src/main/java/eiderscale/net/RetryingSocketChannel.java
+++ b/src/main/java/eiderscale/net/RetryingSocketChannel.java
@@ -88,6 +88,11 @@
         return readsFailingSince != NOT_FAILING;
     }
 
+    /** Whether the last write failed and is to be repeated: the connection may be broken. */
+    boolean isWriteFailing() {
+        return writesFailingSince != NOT_FAILING;
+    }
+
     private int readRetryingInterrupts(ByteBuf buffer) throws Exception {
         int bytesRead = super.doReadBytes(buffer);
         // Retried at once, as the end of the stream may be unread: no request is started for a client that has
