--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -30,6 +30,7 @@
     /** How long after its deadline a request that the module has left open gets a reply without the module. */
     private static final long OVERDUE_REPLY_DELAY_NS = Clock.MILLISECOND;
     private static final long REPLY_RETRY_DELAY_MS = 5;
+    private static final String FAILED_REPLY = "SERVER_ERROR failed\r\n";
     /** Heap memory of a request without its text and value, in bytes: attempts and timers, also in the module. */
     private static final int REQUEST_BYTES = 1024;
     /** Maximum total size of the values of the requests in memory; the heap has room for a few times as much. */
@@ -64,6 +65,7 @@
     private final Discovery discovery;
     /** Requests that are open or have an attempt without an outcome, by id. */
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final RecentWrites recentWrites = new RecentWrites();
     /** Events that the module has not been given yet. */
     private final Queue<Event> pendingEvents = new ArrayDeque<>();
     /** Whether events are being delivered to the module; new ones are only queued then. */
@@ -112,6 +114,13 @@
             replyRefused(exchange, 0);
             return exchange;
         }
+        if (mustNotRunTwice(command) && recentWrites.mayHaveRun(command.opaque)) {
+            releaseHeld(command);
+            counters.repeatedIds++;
+            counters.failed++;
+            exchange.reply(FAILED_REPLY, null);
+            return exchange;
+        }
         exchanges.put(exchange.id, exchange);
         openRequests++;
         try {
@@ -124,6 +133,11 @@
         return exchange;
     }
 
+    /** Whether a repeat might take effect again: the request is not idempotent, or only some hosts drop repeats. */
+    private boolean mustNotRunTwice(Command command) {
+        return site.mustNotRunTwice(command.requestClassIndex);
+    }
+
     private void start(Exchange exchange, long nowNs) {
         Command command = exchange.command;
         exchange.deadlineTimer = loop.schedule(() -> replyIfOverdue(exchange),
@@ -155,6 +169,10 @@
             counters.clientDisconnects++;
             counters.earlyClientDisconnects += isPastHalfOfWait(exchange) ? 0 : 1;
             openRequests--;
+            boolean mayHaveRun = exchange.mayHaveRun || exchange.attempts.stream().anyMatch(Attempt::isFullyWritten);
+            if (mayHaveRun && mustNotRunTwice(exchange.command)) {
+                recentWrites.onClientLeft(exchange.command.opaque);
+            }
             abandonUnwrittenAttempts(exchange);
             dispatch(exchange, () -> decisionModule.onClientGone(Clock.now(), exchange.id));
         }
@@ -351,7 +369,7 @@
 
     private void replyFailed(Exchange exchange) {
         countIfLateAndUnwritten(exchange);
-        exchange.reply("SERVER_ERROR failed\r\n", null);
+        exchange.reply(FAILED_REPLY, null);
         counters.failed++;
         openRequests--;
         abandonUnwrittenAttempts(exchange);
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -35,6 +35,8 @@
     long malformedCommands;
     /** Requests that got a reply without the decision module, as it had not given one by their deadline. */
     long overdueReplies;
+    /** Requests failed because one with their id may have run for a client that has left, and must not run twice. */
+    long repeatedIds;
     /** Requests refused because their client's wait was over before they could be started. */
     long expiredRequests;
     /** Connections to cache hosts that the pool has begun to open. */
@@ -225,7 +227,7 @@
                 .count("unsent", refusedWithoutAttempt).count("failed", failed).count("gone", clientDisconnects)
                 .count("early", earlyClientDisconnects).count("malformed", malformedCommands)
                 .count("last-calls", overdueReplies).count("expired", expiredRequests)
-                .count("held-back", lateAndUnwritten).endGroup();
+                .count("held-back", lateAndUnwritten).count("repeated-ids", repeatedIds).endGroup();
     }
 
     private void appendConnections(MetricsLine line) {
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -161,7 +161,7 @@
             connection.closeAndReleaseSlot();
             connection = host.idleConnections.peekLast();
         }
-        if (connection != null && mustNotRunTwice(attempt)) {
+        if (connection != null && site.mustNotRunTwice(attempt.exchange.command.requestClassIndex)) {
             connection = mostRecentlyUsedPastResponseWindow(host);
         }
         if (connection != null) {
@@ -178,13 +178,6 @@
         }
     }
 
-    /** Whether a repeat might take effect again: the request is not idempotent, or only some hosts drop repeats. */
-    private boolean mustNotRunTwice(Attempt attempt) {
-        Api.RequestClass requestClass = site.settings.requestClasses().get(attempt.exchange.command.requestClassIndex);
-        return requestClass.effect() == Api.Effect.NON_IDEMPOTENT
-                || requestClass.effect() == Api.Effect.DEDUPLICATED && requestClass.dedupScope() != Api.Group.ALL;
-    }
-
     /**
      * The most recently used idle connection that has had no response within {@link #UNSOLICITED_RESPONSE_WINDOW_NS},
      * so that no unsolicited response is expected on it; null if there is none or it is not usable any more.
--- a/src/main/java/eiderscale/net/SiteSettings.java
+++ b/src/main/java/eiderscale/net/SiteSettings.java
@@ -109,6 +109,13 @@
         return indexes;
     }
 
+    /** Whether a repeat might take effect again: the class is not idempotent, or only some hosts drop repeats. */
+    boolean mustNotRunTwice(int classIndex) {
+        Api.RequestClass requestClass = settings.requestClasses().get(classIndex);
+        return requestClass.effect() == Api.Effect.NON_IDEMPOTENT
+                || requestClass.effect() == Api.Effect.DEDUPLICATED && requestClass.dedupScope() != Api.Group.ALL;
+    }
+
     /** Returns the index of a request class, or null if the settings do not define it. */
     Integer requestClassIndex(String name) {
         return requestClassIndexes.get(name);
--- a/src/test/java/eiderscale/net/DepartedClientTest.java
+++ b/src/test/java/eiderscale/net/DepartedClientTest.java
@@ -11,7 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against attempts for a client that has closed its connection while much of what it sent was unread.
+ * Guards against attempts for a client that has closed its connection while much of what it sent was unread, and
+ * against requests that run twice when they come again after that.
  */
 class DepartedClientTest {
     private static final int HOST_DELAY_MS = 400;
@@ -172,4 +173,34 @@
                 newHost(command -> "SERVER_ERROR busy\r\n"), newHost(command -> "SERVER_ERROR busy\r\n"));
         checkClientThatLeaves(fixture, 200_000, 250);
     }
+
+    /** Sends a command, leaves while a host has it, sends it again from elsewhere; returns how often hosts got it. */
+    private long timesRunWhenSentAgain(String command) throws Exception {
+        try (BalancerFixture fixture = new BalancerFixture(newHost(), newHost(), newHost()).start();
+                LineSocket client = fixture.connectClient()) {
+            client.write(command + "\r\n");
+            Await.until(() -> !arrivals.isEmpty(), "an attempt");
+            client.disconnect();
+            ServingTest.awaitGauges(fixture, "open 0 ");
+            try (LineSocket again = fixture.connectClient()) {
+                String reply = again.request(command);
+                assertTrue(reply.startsWith("HD ") || reply.startsWith("VA ") || reply.equals("SERVER_ERROR failed"),
+                        "a refusal would promise that it has not run: " + reply);
+            }
+            return arrivals.size();
+        }
+    }
+
+    /** A write that must not run twice ran again when its id came again after its client had left. */
+    @Test
+    void writeThatMustNotRunTwiceIsNotSentAgain() throws Exception {
+        assertEquals(1, timesRunWhenSentAgain(BalancerFixture.NON_IDEMPOTENT_WRITE));
+    }
+
+    @Test
+    void readAndDeduplicatedWriteAreSentAgain() throws Exception {
+        assertEquals(2, timesRunWhenSentAgain(BalancerFixture.READ));
+        arrivals.clear();
+        assertEquals(2, timesRunWhenSentAgain(BalancerFixture.DEDUPLICATED_WRITE));
+    }
 }
