--- a/src/main/java/eiderscale/net/MemoryBudget.java
+++ b/src/main/java/eiderscale/net/MemoryBudget.java
@@ -17,6 +17,9 @@
     /** Limit as a fraction of the largest heap, for smaller heaps. */
     private static final double MAX_HEAP_FRACTION = 0.42;
 
+    /** Part of the limit up to which commands that are being received may take up memory. */
+    private static final double INPUT_FRACTION = 0.95;
+
     private final long limitBytes;
     private long usedBytes;
     private Reclaimer reclaimer = () -> false;
@@ -37,7 +40,16 @@
 
     /** Reserves memory within the limit, after reclaiming some if necessary; returns false if there is not enough. */
     boolean tryReserve(int bytes) {
-        while (usedBytes + bytes > limitBytes) {
+        return tryReserve(bytes, limitBytes);
+    }
+
+    /** Like {@link #tryReserve(int)}, for part of a command that is being received: leaves room for small requests. */
+    boolean tryReserveForInput(int bytes) {
+        return tryReserve(bytes, (long) (limitBytes * INPUT_FRACTION));
+    }
+
+    private boolean tryReserve(int bytes, long limit) {
+        while (usedBytes + bytes > limit) {
             if (!reclaimer.reclaim()) {
                 return false;
             }
--- a/src/main/java/eiderscale/net/MetaParser.java
+++ b/src/main/java/eiderscale/net/MetaParser.java
@@ -33,6 +33,8 @@
     private final int lengthIndex;
     /** Where the memory of {@link #dataLine} and {@link #data} is reserved until the block is complete. */
     private final MemoryBudget memoryBudget;
+    /** Whether small requests have priority over what is parsed here. */
+    private final boolean isOfCommands;
     /** The line that announced the data block being read. */
     private String dataLine;
     /** The part of a data block that has been read, null if there is none; it grows as the block arrives. */
@@ -44,20 +46,21 @@
     /** Whether input is discarded up to the next line feed. */
     private boolean isDiscardingLine;
 
-    private MetaParser(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget) {
+    private MetaParser(String dataKeyword, int lengthIndex, MemoryBudget memoryBudget, boolean isOfCommands) {
         this.dataKeyword = dataKeyword;
         this.lengthIndex = lengthIndex;
         this.memoryBudget = memoryBudget;
+        this.isOfCommands = isOfCommands;
     }
 
     /** Returns a parser of client commands, of which {@code ms} has a data block. */
     static MetaParser forCommands(MemoryBudget memoryBudget) {
-        return new MetaParser("ms", 2, memoryBudget);
+        return new MetaParser("ms", 2, memoryBudget, true);
     }
 
     /** Returns a parser of cache host responses, of which {@code VA} has a data block. */
     static MetaParser forResponses(MemoryBudget memoryBudget) {
-        return new MetaParser("VA", 1, memoryBudget);
+        return new MetaParser("VA", 1, memoryBudget, false);
     }
 
     /** Whether the end of the last frame has not arrived, or part of the next one has been taken out of the input. */
@@ -170,7 +173,7 @@
         }
         dataLength = length;
         dataBytesRead = 0;
-        if (!memoryBudget.tryReserve(line.length())) {
+        if (!tryReserve(line.length())) {
             MetaFrame frame = MetaFrame.valueDropped(line);
             bytesToDiscard = (long) length + CRLF_BYTES;
             return frame;
@@ -213,7 +216,7 @@
             return true;
         }
         int capacity = Math.min(dataLength, Math.max(bytes, 2 * data.length));
-        if (!memoryBudget.tryReserve(capacity - data.length)) {
+        if (!tryReserve(capacity - data.length)) {
             return false;
         }
         try {
@@ -225,6 +228,10 @@
         }
     }
 
+    private boolean tryReserve(int bytes) {
+        return isOfCommands ? memoryBudget.tryReserveForInput(bytes) : memoryBudget.tryReserve(bytes);
+    }
+
     /** Gives up the data block; what is left of it is discarded as it arrives. */
     private MetaFrame dropData() {
         MetaFrame frame = MetaFrame.valueDropped(dataLine);
--- a/src/test/java/eiderscale/net/CommandInputTest.java
+++ b/src/test/java/eiderscale/net/CommandInputTest.java
@@ -123,6 +123,18 @@
         assertEquals(50_000, budget.usedBytes());
     }
 
+    /** Half-received values used up the memory to the last byte, and small requests of others were refused. */
+    @Test
+    void halfReceivedValuesLeaveRoomForSmallRequests() {
+        for (int i = 0; i < 100; i++) {
+            CommandInput other = new CommandInput(budget);
+            other.append(directBuffer("ms 1 60000 O1\r\n" + "v".repeat(1_500)), 0);
+            other.next();
+        }
+        assertTrue(budget.usedBytes() > 90_000, "" + budget.usedBytes());
+        assertTrue(budget.tryReserve(5_000));
+    }
+
     @Test
     void valueOfACommandThatIsRejectedIsNotHeld() {
         append("ms 1 60000 O1\r\nabc");
